--- a/src/main/java/pumicestep/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -1,4 +1,4 @@
-package pumicestep;
+package lupinvalve;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,12 +10,12 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import pumicestep.State.Attempt;
-import pumicestep.State.Gauge;
-import pumicestep.State.Group;
-import pumicestep.State.Node;
-import pumicestep.State.Pending;
-import pumicestep.State.Tokens;
+import lupinvalve.State.Attempt;
+import lupinvalve.State.Gauge;
+import lupinvalve.State.Group;
+import lupinvalve.State.Node;
+import lupinvalve.State.Pending;
+import lupinvalve.State.Tokens;
 
 /**
  * The decisions of one router before groups of a primary and its replicas. Interface file: Routing.java.
--- a/src/main/java/pumicestep/Routing.java
+++ b/src/main/java/lupinvalve/Routing.java
@@ -1,4 +1,4 @@
-package pumicestep;
+package lupinvalve;
 
 import java.util.List;
 
--- a/src/main/java/pumicestep/wire/BatchReader.java
+++ b/src/main/java/lupinvalve/wire/BatchReader.java
@@ -1,4 +1,4 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -10,7 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pumicestep.Routing;
+import lupinvalve.Routing;
 
 /** Reads batches of the wire into {@link Routing} events. Keeps only what the wire itself refers back to. */
 final class BatchReader {
--- a/src/main/java/pumicestep/wire/Fields.java
+++ b/src/main/java/lupinvalve/wire/Fields.java
@@ -1,4 +1,4 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/pumicestep/wire/Host.java
+++ b/src/main/java/lupinvalve/wire/Host.java
@@ -1,4 +1,4 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -6,7 +6,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
-import pumicestep.Router;
+import lupinvalve.Router;
 
 /** Hosts any number of routers: one line of events in, one line of actions out. The routers share nothing. */
 public final class Host {
--- a/src/main/java/pumicestep/wire/ReplyWriter.java
+++ b/src/main/java/lupinvalve/wire/ReplyWriter.java
@@ -1,4 +1,4 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -6,7 +6,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.Consumer;
-import pumicestep.Routing;
+import lupinvalve.Routing;
 
 /** Writes the actions of one batch in the wire's words. */
 final class ReplyWriter implements Consumer<Routing.Action> {
--- a/src/main/java/pumicestep/wire/SettingsReader.java
+++ b/src/main/java/lupinvalve/wire/SettingsReader.java
@@ -1,8 +1,8 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 import java.util.ArrayList;
 import java.util.List;
-import pumicestep.Routing;
+import lupinvalve.Routing;
 
 /** Reads the settings of a start; unknown ones are skipped. */
 final class SettingsReader {
--- a/src/main/java/pumicestep/wire/WireException.java
+++ b/src/main/java/lupinvalve/wire/WireException.java
@@ -1,4 +1,4 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 /** Input that the wire does not allow; the message names the message and field at fault. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/pumicestep/ExampleTest.java
+++ b/src/test/java/lupinvalve/ExampleTest.java
@@ -1,4 +1,4 @@
-package pumicestep;
+package lupinvalve;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/pumicestep/PolicyFileTest.java
+++ b/src/test/java/lupinvalve/PolicyFileTest.java
@@ -1,4 +1,4 @@
-package pumicestep;
+package lupinvalve;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 class PolicyFileTest {
     @Test
     void moduleKeepsToItsSizeAndLineLength() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/pumicestep/Router.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/lupinvalve/Router.java"));
         long counted = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(counted <= 850, "lines that are not blank: " + counted);
         lines.forEach(line -> assertTrue(line.length() <= 110, line));
--- a/src/test/java/pumicestep/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -1,4 +1,4 @@
-package pumicestep;
+package lupinvalve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,14 +10,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pumicestep.Routing.Access;
-import pumicestep.Routing.Effect;
-import pumicestep.Routing.Ending;
-import pumicestep.Routing.FreshnessCheck;
-import pumicestep.Routing.Health;
-import pumicestep.Routing.ListForm;
-import pumicestep.Routing.Role;
-import pumicestep.Routing.TokenSource;
+import lupinvalve.Routing.Access;
+import lupinvalve.Routing.Effect;
+import lupinvalve.Routing.Ending;
+import lupinvalve.Routing.FreshnessCheck;
+import lupinvalve.Routing.Health;
+import lupinvalve.Routing.ListForm;
+import lupinvalve.Routing.Role;
+import lupinvalve.Routing.TokenSource;
 
 /** Drives the module through its interface alone. */
 class RouterTest {
--- a/src/test/java/pumicestep/wire/HostTest.java
+++ b/src/test/java/lupinvalve/wire/HostTest.java
@@ -1,4 +1,4 @@
-package pumicestep.wire;
+package lupinvalve.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
