--- /dev/null
+++ b/src/main/java/lupinvalve/cli/Main.java
@@ -0,0 +1,59 @@
+package lupinvalve.cli;
+
+import java.io.PrintStream;
+import lupinvalve.log.Log;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The command line. */
+public final class Main {
+    /** One of the program's commands. */
+    public interface Command {
+        /** Runs it and gives the exit code. */
+        int run() throws Exception;
+    }
+
+    @Argument(required = true, metaVar = "COMMAND", usage = "serve, check-config, wirehost or version",
+            handler = SubCommandHandler.class)
+    @SubCommands({
+        @SubCommand(name = "serve", impl = Serve.class),
+        @SubCommand(name = "check-config", impl = CheckConfig.class),
+        @SubCommand(name = "wirehost", impl = WireHost.class),
+        @SubCommand(name = "version", impl = Version.class)
+    })
+    private Command command;
+
+    private Main() {}
+
+    public static void main(String[] args) {
+        System.exit(run(args, System.err));
+    }
+
+    static int run(String[] args, PrintStream err) {
+        Main main = new Main();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            err.println("lupinvalve: " + e.getMessage());
+            err.println("usage: lupinvalve serve [--config FILE] [--operator FILE] [--debug]");
+            err.println("       lupinvalve check-config [--config FILE] [--operator FILE]");
+            err.println("       lupinvalve wirehost");
+            err.println("       lupinvalve version");
+            return 2;
+        }
+        try {
+            return main.command.run();
+        } catch (Exception e) {
+            err.println("lupinvalve: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            if (Log.debugs()) {
+                e.printStackTrace(err);
+            }
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/cli/Serve.java
@@ -0,0 +1,35 @@
+package lupinvalve.cli;
+
+import java.util.concurrent.CountDownLatch;
+import lupinvalve.config.NodeConfig;
+import lupinvalve.log.Log;
+import org.kohsuke.args4j.Option;
+
+/** Runs one pooler until it is told to stop. */
+public final class Serve extends Files implements Main.Command {
+    @Option(name = "--debug", usage = "log each attempt")
+    private boolean debug;
+
+    @Override
+    public int run() throws Exception {
+        if (debug) {
+            Log.least(Log.Level.DEBUG);
+        }
+        Daemon daemon = new Daemon(NodeConfig.read(config(), null));
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            // SIGTERM: what was taken is answered first, and that is no failure.
+            daemon.drain(stopped::countDown);
+            try {
+                stopped.await();
+            } catch (InterruptedException e) {
+                Log.warn("interrupted while draining");
+            }
+            Log.info("stopped");
+            Runtime.getRuntime().halt(0);
+        }, "drain"));
+        daemon.start();
+        stopped.await();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/config/NodeConfig.java
@@ -0,0 +1,79 @@
+package lupinvalve.config;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import lupinvalve.discovery.ListReader;
+import lupinvalve.wire.SettingsReader;
+
+/**
+ * What the platform tells a pooler, decoded once.
+ *
+ * @param known the list as this pooler had it last
+ */
+public record NodeConfig(String name, String listen, String discovery, long seed, int memoryMb, int sockets,
+        ListReader.Listed known, SettingsReader.Site site) {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /**
+     * Reads a file in the platform's form.
+     *
+     * @param mysqlPort port at which db nodes speak MySQL's protocol, or null
+     */
+    public static NodeConfig read(Path file, Integer mysqlPort) throws IOException {
+        String name = "pooler";
+        String listen = null;
+        String discovery = null;
+        long seed = 0;
+        int memory = 192;
+        int sockets = 1024;
+        ListReader.Listed known = new ListReader.Listed(0, true, List.of());
+        SettingsReader.Site site = null;
+        try (JsonParser in = JSON.createParser(file.toFile())) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException(file + ": not a JSON object");
+            }
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String field = in.currentName();
+                in.nextToken();
+                switch (field) {
+                    case "name" -> name = in.getValueAsString();
+                    case "listen" -> listen = in.getValueAsString();
+                    case "discovery" -> discovery = in.getValueAsString();
+                    case "seed" -> seed = seed(in.getValueAsString("0"));
+                    case "known" -> known = new ListReader(List.of(), mysqlPort).read(in);
+                    case "settings" -> site = SettingsReader.read(in);
+                    case "limits" -> {
+                        while (in.nextToken() == JsonToken.FIELD_NAME) {
+                            String limit = in.currentName();
+                            in.nextToken();
+                            if (limit.equals("memory_mb")) {
+                                memory = in.getValueAsInt();
+                            } else if (limit.equals("sockets")) {
+                                sockets = in.getValueAsInt();
+                            } else {
+                                in.skipChildren();
+                            }
+                        }
+                    }
+                    default -> in.skipChildren();
+                }
+            }
+        }
+        if (listen == null || site == null) {
+            throw new IOException(file + ": " + (listen == null ? "listen" : "settings") + " is missing");
+        }
+        return new NodeConfig(name, listen, discovery, seed, memory, sockets, known, site);
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            return text.hashCode();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/core/Backend.java
@@ -0,0 +1,21 @@
+package lupinvalve.core;
+
+/** Carries attempts and probes to db nodes over one protocol. Called by the core thread. */
+public interface Backend {
+    /**
+     * Starts an attempt; its end comes through {@link Pooler#ended}.
+     *
+     * @param statement what the protocol's front made of the request
+     * @param waitMicros how long the pooler will wait
+     */
+    void send(long attempt, String node, String address, Object statement, long waitMicros);
+
+    /** Stops waiting for an attempt and closes its connection; true where its request may have left. */
+    boolean abandon(long attempt);
+
+    /** Asks a db node for its report; the end comes through {@link Pooler#probed}. */
+    void probe(String node, String address);
+
+    /** Closes idle connections to a db node. */
+    void closeIdle(String node);
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/core/Loop.java
@@ -0,0 +1,77 @@
+package lupinvalve.core;
+
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lupinvalve.log.Log;
+
+/**
+ * The core thread: runs what other threads post, and the deadlines, one after another. All tables belong to it, so
+ * none of them needs a lock.
+ */
+public final class Loop {
+    private final LinkedBlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
+    private final Clock clock = new Clock();
+    private final Deadlines deadlines = new Deadlines();
+    private final Thread thread = new Thread(this::run, "core");
+    private volatile boolean stopped;
+
+    public void start() {
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public void stop() {
+        stopped = true;
+        post(() -> { });
+    }
+
+    /** Hands work to the core thread, from any thread. */
+    public void post(Runnable work) {
+        posted.add(work);
+    }
+
+    public long now() {
+        return clock.micros();
+    }
+
+    /** Runs {@code then} after so many microseconds; core thread only. */
+    public Deadlines.Deadline after(long micros, Runnable then) {
+        return deadlines.at(now() + Math.max(0, micros), then);
+    }
+
+    public void drop(Deadlines.Deadline deadline) {
+        deadlines.drop(deadline);
+    }
+
+    private void run() {
+        while (!stopped) {
+            try {
+                long next = deadlines.next();
+                long wait = next == Long.MAX_VALUE ? 1_000_000 : next - now();
+                Runnable work = wait <= 0 ? posted.poll() : posted.poll(wait, TimeUnit.MICROSECONDS);
+                // Deadlines come second: an answer that is here already beats the time-out it was racing.
+                for (int i = 0; work != null && i < 64; i++) {
+                    guarded(work);
+                    work = posted.poll();
+                }
+                if (work != null) {
+                    guarded(work);
+                }
+                for (Runnable due = deadlines.due(now()); due != null; due = deadlines.due(now())) {
+                    guarded(due);
+                }
+            } catch (InterruptedException e) {
+                Log.warn("core thread interrupted");
+            }
+        }
+    }
+
+    /** Guards against one connection's fault ending the thread that serves all the others. */
+    private static void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            Log.failure("core", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -0,0 +1,325 @@
+package lupinvalve.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lupinvalve.Router;
+import lupinvalve.Routing;
+import lupinvalve.Routing.Ending;
+import lupinvalve.log.Log;
+
+/**
+ * The core: knows no wire. Owns the router, the requests and the attempts, turns what happens on sockets into the
+ * router's events and its actions into calls, and sees to it that each request gets exactly one final answer.
+ */
+public final class Pooler {
+    /** Requests and attempts held at most; the bound on client connections keeps far below it. */
+    private static final int MOST = 8192;
+    /** After a request's time, how long the router may take to end it before the core does. */
+    private static final long OVERTIME = 10_000;
+
+    /**
+     * What a front asks.
+     *
+     * @param afterMicros position that a read must see, carried by the client; 0 for none
+     * @param expiresMicros when the client stops waiting
+     * @param protocol name of the backend that can carry the statement
+     */
+    public record Ask(int classIndex, boolean repeated, String session, long afterMicros, int group,
+            long expiresMicros, String protocol, Object statement) {}
+
+    private static final class Held {
+        final Front front;
+        final long ticket;
+        final Ask ask;
+        String id;
+        long handle;
+        int attempts;
+        boolean answered;
+        Deadlines.Deadline overtime;
+
+        Held(Front front, long ticket, Ask ask) {
+            this.front = front;
+            this.ticket = ticket;
+            this.ask = ask;
+        }
+    }
+
+    private static final class Attempt {
+        final Held of;
+        final int number;
+        final String node;
+        final long sentAt;
+        long handle;
+        Deadlines.Deadline timeout;
+
+        Attempt(Held of, int number, String node, long sentAt) {
+            this.of = of;
+            this.number = number;
+            this.node = node;
+            this.sentAt = sentAt;
+        }
+    }
+
+    private final Loop loop;
+    private final Routing.Settings settings;
+    private final Map<String, Backend> backends = new java.util.LinkedHashMap<>();
+    private final Map<String, Map<String, String>> addresses = new HashMap<>();
+    private final Map<String, Held> byId = new HashMap<>();
+    private final Slots<Held> requests = new Slots<>(MOST);
+    private final Slots<Attempt> attempts = new Slots<>(MOST);
+    private final ArrayDeque<Routing.Event> events = new ArrayDeque<>();
+    private Directory directory;
+    private Marks marks = Marks.NONE;
+    private Router router;
+    private boolean handling;
+
+    public Pooler(Loop loop, Routing.Settings settings) {
+        this.loop = loop;
+        this.settings = settings;
+    }
+
+    public Loop loop() {
+        return loop;
+    }
+
+    public Routing.Settings settings() {
+        return settings;
+    }
+
+    /** Adds a protocol to db nodes; before {@link #start}. */
+    public void backend(String protocol, Backend backend) {
+        backends.put(protocol, backend);
+    }
+
+    public void directory(Directory source) {
+        directory = source;
+    }
+
+    public void marks(Marks memory) {
+        marks = memory;
+    }
+
+    /** Starts the router; the list it had last comes first, as restored. */
+    public void start(long seed, List<Directory.Entry> known) {
+        List<Routing.Action> first = new ArrayList<>();
+        router = new Router(seed, settings, loop.now(), first::add);
+        listed(new Directory.News(Routing.ListForm.RESTORED, known));
+        first.forEach(this::perform);
+    }
+
+    // ---- what happens ----
+
+    /** Takes a request; its ticket returns with the one final answer. Gives a handle for {@link #gone}. */
+    public long request(Front front, long ticket, Ask ask) {
+        if (requests.full()) {
+            front.refused(ticket, settings.limits().maxRetryAfterMicros());
+            return -1;
+        }
+        Held held = new Held(front, ticket, ask);
+        held.handle = requests.put(held);
+        held.id = Long.toHexString(held.handle);
+        byId.put(held.id, held);
+        long now = loop.now();
+        long left = ask.expiresMicros() - now;
+        long after = ask.afterMicros();
+        if (ask.session() != null) {
+            after = Math.max(after, marks.lastCommit(ask.session()));
+        }
+        // A commit is rounded up, so it may lie in the future: no age would mean no token.
+        long age = after > 0 ? Math.max(1, now - after) : 0;
+        held.overtime = loop.after(left + OVERTIME, () -> overtime(held));
+        feed(now, new Routing.Request(held.id, ask.classIndex(), ask.repeated(), ask.session(), age, ask.group(),
+                left));
+        return held.handle;
+    }
+
+    /** The client of a request has gone. */
+    public void gone(long handle) {
+        Held held = requests.get(handle);
+        if (held != null && !held.answered) {
+            close(held);
+            feed(new Routing.ClientGone(held.id));
+        }
+    }
+
+    /** An attempt has ended. The first served one is the request's final answer. */
+    public void ended(long handle, Ending ending, Object answer, long position, Routing.Role role) {
+        Attempt a = attempts.free(handle);
+        if (a == null) {
+            return;
+        }
+        loop.drop(a.timeout);
+        Held held = a.of;
+        long now = loop.now();
+        if (Log.debugs()) {
+            Log.debug("%s#%d %s %s after %d us", held.id, a.number, a.node, ending, now - a.sentAt);
+        }
+        if (ending == Ending.SERVED) {
+            if (access(held) == Routing.Access.WRITE && held.ask.session() != null
+                    && position != Routing.NO_POSITION) {
+                marks.committed(held.ask.session(), position);
+            }
+            if (!held.answered) {
+                close(held);
+                held.front.served(held.ticket, answer, position, role);
+            }
+        }
+        feed(now, new Routing.Outcome(held.id, a.number, a.node, ending, now - a.sentAt, held.answered, position,
+                role));
+    }
+
+    /** A probe has ended. */
+    public void probed(String node, Ending ending, long elapsedMicros, long position, Routing.Role role) {
+        feed(new Routing.Probed(node, ending, elapsedMicros, position, role));
+    }
+
+    /** News of the list. */
+    public void listed(Directory.News news) {
+        List<Routing.Member> members = new ArrayList<>();
+        for (Directory.Entry entry : news.entries()) {
+            members.add(entry.member());
+            addresses.put(entry.member().node(), entry.addresses());
+        }
+        if (news.form() != Routing.ListForm.UPDATE) {
+            Log.info("list: %s, %d db nodes", news.form(), members.size());
+        }
+        feed(new Routing.Members(news.form(), members));
+        for (Routing.Member m : members) {
+            if (m.health() == Routing.Health.GONE) {
+                backends.values().forEach(b -> b.closeIdle(m.node()));
+            }
+        }
+    }
+
+    public int open() {
+        return requests.size();
+    }
+
+    private Routing.Access access(Held held) {
+        return settings.classes().get(held.ask.classIndex()).access();
+    }
+
+    /** Guards the rule that each request is answered in time, should the router fail to end one. */
+    private void overtime(Held held) {
+        if (!held.answered) {
+            Log.warn("request %s overdue: failed by the core", held.id);
+            close(held);
+            held.front.failed(held.ticket);
+            feed(new Routing.ClientGone(held.id));
+        }
+    }
+
+    private void close(Held held) {
+        held.answered = true;
+        loop.drop(held.overtime);
+        requests.free(held.handle);
+        byId.remove(held.id);
+    }
+
+    // ---- what the router wants ----
+
+    private void feed(Routing.Event event) {
+        feed(loop.now(), event);
+    }
+
+    /** Events that arise while the router's actions are carried out wait until these are done. */
+    private void feed(long now, Routing.Event event) {
+        events.add(event);
+        if (handling) {
+            return;
+        }
+        handling = true;
+        try {
+            List<Routing.Action> actions = new ArrayList<>();
+            long at = now;
+            for (Routing.Event next = events.poll(); next != null; next = events.poll()) {
+                try {
+                    router.handle(at, next, actions::add);
+                } catch (RuntimeException e) {
+                    Log.failure("router", e);
+                }
+                actions.forEach(this::perform);
+                actions.clear();
+                at = loop.now();
+            }
+        } finally {
+            handling = false;
+        }
+    }
+
+    private void perform(Routing.Action action) {
+        if (action instanceof Routing.Send send) {
+            send(send);
+        } else if (action instanceof Routing.Refuse refuse) {
+            Held held = byId.get(refuse.id());
+            if (held != null) {
+                close(held);
+                held.front.refused(held.ticket, refuse.retryAfterMicros());
+            }
+        } else if (action instanceof Routing.Fail fail) {
+            Held held = byId.get(fail.id());
+            if (held != null) {
+                close(held);
+                held.front.failed(held.ticket);
+            }
+        } else if (action instanceof Routing.Cancel cancel) {
+            attempts.each(a -> {
+                if (a.number == cancel.attempt() && a.of.id.equals(cancel.id())) {
+                    abandon(a, Ending.CANCELLED);
+                }
+            });
+        } else if (action instanceof Routing.Probe probe) {
+            probe(probe.node());
+        } else if (action instanceof Routing.CloseIdle close) {
+            backends.values().forEach(b -> b.closeIdle(close.node()));
+        } else if (action instanceof Routing.Subscribe subscribe) {
+            directory.subscribe(subscribe.active());
+        } else if (action instanceof Routing.FetchList) {
+            directory.fetch();
+        } else if (action instanceof Routing.SetTimer timer) {
+            loop.after(timer.delayMicros(), () -> feed(new Routing.TimerFired(timer.handle())));
+        } else if (action instanceof Routing.Note note) {
+            Log.info("router: %s", note.text());
+        }
+    }
+
+    private void send(Routing.Send send) {
+        Held held = byId.get(send.id());
+        long now = loop.now();
+        int number = held == null ? 0 : held.attempts++;
+        String address = held == null ? null
+                : addresses.getOrDefault(send.node(), Map.of()).get(held.ask.protocol());
+        if (held == null || address == null || attempts.full()) {
+            feed(new Routing.Outcome(send.id(), number, send.node(), Ending.NOT_SENT, 0, held == null,
+                    Routing.NO_POSITION, Routing.Role.UNKNOWN));
+            return;
+        }
+        long left = held.ask.expiresMicros() - now;
+        long wait = send.timeoutMicros() == 0 ? left : Math.min(send.timeoutMicros(), left);
+        Attempt a = new Attempt(held, number, send.node(), now);
+        a.handle = attempts.put(a);
+        a.timeout = loop.after(wait, () -> abandon(a, Ending.TIMED_OUT));
+        backends.get(held.ask.protocol()).send(a.handle, a.node, address, held.ask.statement(), wait);
+    }
+
+    /** What was never handed to a socket has not run, whatever ended the wait for it. */
+    private void abandon(Attempt a, Ending ending) {
+        boolean left = backends.get(a.of.ask.protocol()).abandon(a.handle);
+        ended(a.handle, left ? ending : Ending.NOT_SENT, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
+    }
+
+    private void probe(String node) {
+        Map<String, String> known = addresses.getOrDefault(node, Map.of());
+        for (Map.Entry<String, Backend> backend : backends.entrySet()) {
+            String address = known.get(backend.getKey());
+            if (address != null) {
+                backend.getValue().probe(node, address);
+                return;
+            }
+        }
+        probed(node, Ending.NOT_SENT, 0, Routing.NO_POSITION, Routing.Role.UNKNOWN);
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/core/Statement.java
@@ -0,0 +1,148 @@
+package lupinvalve.core;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lupinvalve.Routing;
+
+/**
+ * A statement as a client sent it, with the few fields that the decisions need taken out of its closing comment. The
+ * bytes go on as they came; only the value of {@code d} is rewritten.
+ */
+public final class Statement {
+    /** The statement says too little or something that can't be. */
+    public static final class Unclear extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unclear(String message) {
+            super(message);
+        }
+    }
+
+    private final byte[] text;
+    private final Map<String, String> fields = new HashMap<>();
+    private int waitFrom = -1, waitTo = -1;
+
+    /** Reads the last comment of the statement; one with none has no fields. */
+    public Statement(byte[] text) {
+        this.text = text;
+        int to = lastOf('*', '/', text.length);
+        int from = to < 0 ? -1 : lastOf('/', '*', to);
+        if (from >= 0) {
+            read(from + 2, to);
+        }
+    }
+
+    private int lastOf(char first, char second, int before) {
+        for (int i = before - 2; i >= 0; i--) {
+            if (text[i] == first && text[i + 1] == second) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private void read(int from, int to) {
+        int at = from;
+        while (at < to) {
+            int end = at;
+            while (end < to && text[end] != ',') {
+                end++;
+            }
+            int equals = at;
+            while (equals < end && text[equals] != '=') {
+                equals++;
+            }
+            if (equals < end) {
+                String name = new String(text, at, equals - at, UTF_8).strip();
+                fields.put(name, new String(text, equals + 1, end - equals - 1, UTF_8).strip());
+                if (name.equals("d")) {
+                    waitFrom = equals + 1;
+                    waitTo = end;
+                    while (waitTo > waitFrom && text[waitTo - 1] == ' ') {
+                        waitTo--;
+                    }
+                }
+            }
+            at = end + 1;
+        }
+    }
+
+    /** Sets a field that came beside the statement, such as a query attribute; it goes before the comment's. */
+    public void set(String name, String value) {
+        fields.put(name, value);
+    }
+
+    public String field(String name) {
+        return fields.get(name);
+    }
+
+    /** The first quoted literal, which names the session, or null. */
+    public String key() {
+        int from = 0;
+        while (from < text.length && text[from] != '\'') {
+            from++;
+        }
+        int to = from + 1;
+        while (to < text.length && (text[to] != '\'' || to + 1 < text.length && text[to + 1] == '\'')) {
+            to += text[to] == '\'' ? 2 : 1;
+        }
+        return to < text.length ? new String(text, from + 1, to - from - 1, UTF_8) : null;
+    }
+
+    /** The statement with {@code d} as the time left, everything else as it came. */
+    public byte[] bytes(long leftMicros) {
+        if (waitFrom < 0) {
+            return text;
+        }
+        byte[] left = Long.toString(Math.max(1, leftMicros / 1000)).getBytes(US_ASCII);
+        byte[] out = new byte[text.length - (waitTo - waitFrom) + left.length];
+        System.arraycopy(text, 0, out, 0, waitFrom);
+        System.arraycopy(left, 0, out, waitFrom, left.length);
+        System.arraycopy(text, waitTo, out, waitFrom + left.length, text.length - waitTo);
+        return out;
+    }
+
+    /**
+     * What the core is asked.
+     *
+     * @param session the session's key, or null to take the first quoted literal
+     * @param carried what goes to the backend
+     */
+    public Pooler.Ask ask(List<Routing.RequestClass> classes, long arrivedMicros, String session, String protocol,
+            Object carried) throws Unclear {
+        String name = fields.get("c");
+        int index = 0;
+        while (index < classes.size() && !classes.get(index).name().equals(name)) {
+            index++;
+        }
+        if (index == classes.size()) {
+            throw new Unclear(name == null ? "field c, the class, is missing" : "field c names no class");
+        }
+        long wait = number("d", classes.get(index).deadlineMicros() / 1000);
+        long group = number("cluster", -1);
+        if (group < 0 || group > Integer.MAX_VALUE) {
+            throw new Unclear("field cluster is missing or no group");
+        }
+        // What a client claims to wait can't be longer than a class allows: it would hold its slot for ever.
+        long most = Math.max(classes.get(index).deadlineMicros() / 1000, 1);
+        return new Pooler.Ask(index, "1".equals(fields.get("r")), session != null ? session : key(),
+                number("after", 0) * 1000, (int) group,
+                arrivedMicros + Math.max(0, Math.min(wait, most)) * 1000, protocol, carried);
+    }
+
+    private long number(String name, long other) throws Unclear {
+        String value = fields.get(name);
+        if (value == null) {
+            return other;
+        }
+        try {
+            return (long) Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new Unclear("field " + name + " is no number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -0,0 +1,231 @@
+package lupinvalve.discovery;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import lupinvalve.Routing;
+import lupinvalve.core.Deadlines;
+import lupinvalve.core.Directory;
+import lupinvalve.core.Loop;
+import lupinvalve.core.Pooler;
+import lupinvalve.log.Log;
+import lupinvalve.net.Framer;
+import lupinvalve.net.Link;
+import lupinvalve.net.Net;
+
+/** The list over HTTP/1.1: whole on demand, and as a watch of changes. Core thread only. */
+public final class HttpDirectory implements Directory {
+    /** A watch says something every 2 s; one silent for over twice that is dead and no reset will tell. */
+    private static final long WATCH_SILENCE = 4_200_000;
+    /** How long a call may take until its answer begins. */
+    private static final long CALL = 1_500_000;
+    private static final int ANSWER_MOST = 4 << 20;
+    private final Net net;
+    private final Pooler pooler;
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final ListReader reader;
+    private long revision;
+    private Call watch;
+
+    public HttpDirectory(Net net, Pooler pooler, InetSocketAddress address, ListReader reader, long revision) {
+        this.net = net;
+        this.pooler = pooler;
+        this.address = address;
+        this.reader = reader;
+        this.revision = revision;
+        loop = pooler.loop();
+    }
+
+    @Override
+    public void subscribe(boolean active) {
+        if (watch != null) {
+            watch.end();
+            watch = null;
+        }
+        if (active) {
+            watch = new Call("/api/targets?follow=1&since=" + revision, true);
+        }
+    }
+
+    @Override
+    public void fetch() {
+        new Call("/api/targets", false);
+    }
+
+    private void tell(byte[] json, int from, int length) throws IOException {
+        ListReader.Listed listed = reader.read(json, from, length);
+        revision = Math.max(revision, listed.revision());
+        pooler.listed(new News(listed.complete() ? Routing.ListForm.FULL : Routing.ListForm.UPDATE,
+                listed.entries()));
+    }
+
+    /** Takes bytes as they come: the answer is cut on the core thread. */
+    private static final class Raw implements Framer {
+        @Override
+        public int cut(byte[] bytes, int from, int to, List<byte[]> out) {
+            out.add(Arrays.copyOfRange(bytes, from, to));
+            return to;
+        }
+    }
+
+    private final class Call implements Link.Events {
+        private final boolean watching;
+        private final String path;
+        private final ByteArrayOutputStream head = new ByteArrayOutputStream();
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Chunks chunks = new Chunks();
+        private final Link link;
+        private Deadlines.Deadline patience;
+        private boolean bodied, chunked, over;
+        private long length = -1;
+
+        Call(String path, boolean watching) {
+            this.path = path;
+            this.watching = watching;
+            patience = loop.after(CALL, this::fail);
+            link = net.dial(address, new Raw(), this);
+        }
+
+        void end() {
+            over = true;
+            loop.drop(patience);
+            link.drop();
+        }
+
+        private void fail() {
+            if (over) {
+                return;
+            }
+            Log.info("discovery: %s ended", watching ? "watch" : "call");
+            end();
+            if (watch == this) {
+                watch = null;
+            }
+            pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
+        }
+
+        @Override
+        public void opened(Link opened) {
+            link.write(("GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
+                    + "\r\nAccept: application/json\r\n" + (watching ? "" : "Connection: close\r\n") + "\r\n")
+                    .getBytes(ISO_8859_1));
+        }
+
+        @Override
+        public void malformed(Link broken, String why) {
+            fail();
+        }
+
+        @Override
+        public void closed(Link ended) {
+            if (!over && !watching && bodied && !chunked && length < 0 && line.size() > 0) {
+                whole();
+            } else {
+                fail();
+            }
+        }
+
+        @Override
+        public void messages(Link from, List<byte[]> messages, long atMicros) {
+            try {
+                for (byte[] bytes : messages) {
+                    if (!over) {
+                        take(bytes);
+                    }
+                }
+            } catch (IOException e) {
+                Log.warn("discovery: %s", e.getMessage());
+                fail();
+            }
+        }
+
+        private void take(byte[] bytes) throws IOException {
+            byte[] body = bytes;
+            if (!bodied) {
+                head.writeBytes(bytes);
+                byte[] all = head.toByteArray();
+                int end = new String(all, ISO_8859_1).indexOf("\r\n\r\n");
+                if (end < 0) {
+                    if (all.length > 16384) {
+                        throw new IOException("answer without end of its head");
+                    }
+                    return;
+                }
+                head(new String(all, 0, end, ISO_8859_1));
+                body = Arrays.copyOfRange(all, end + 4, all.length);
+                bodied = true;
+            }
+            if (watching) {
+                loop.drop(patience);
+                patience = loop.after(WATCH_SILENCE, this::fail);
+            }
+            if (chunked) {
+                body = chunks.take(body);
+            }
+            body(body);
+        }
+
+        private void head(String text) throws IOException {
+            String[] lines = text.split("\r\n");
+            if (!lines[0].matches("HTTP/1\\.[01] 200( .*)?")) {
+                throw new IOException("answer " + lines[0]);
+            }
+            for (String header : lines) {
+                int colon = header.indexOf(':');
+                String name = colon < 0 ? "" : header.substring(0, colon).strip().toLowerCase(java.util.Locale.ROOT);
+                String value = header.substring(colon + 1).strip();
+                if (name.equals("transfer-encoding")) {
+                    chunked = value.equalsIgnoreCase("chunked");
+                } else if (name.equals("content-length")) {
+                    try {
+                        length = Long.parseLong(value);
+                    } catch (NumberFormatException e) {
+                        throw new IOException("content-length " + value, e);
+                    }
+                }
+            }
+        }
+
+        private void body(byte[] bytes) throws IOException {
+            if (line.size() + bytes.length > ANSWER_MOST) {
+                throw new IOException("answer too long");
+            }
+            if (!watching) {
+                line.writeBytes(bytes);
+                if (chunked ? chunks.ended() : length >= 0 && line.size() >= length) {
+                    whole();
+                }
+                return;
+            }
+            for (byte b : bytes) {
+                if (b != '\n') {
+                    line.write(b);
+                } else {
+                    byte[] json = line.toByteArray();
+                    line.reset();
+                    if (!new String(json, ISO_8859_1).isBlank()) {
+                        tell(json, 0, json.length);
+                    }
+                }
+            }
+            if (chunks.ended()) {
+                fail();
+            }
+        }
+
+        private void whole() {
+            end();
+            try {
+                tell(line.toByteArray(), 0, line.size());
+            } catch (IOException e) {
+                Log.warn("discovery: %s", e.getMessage());
+                pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -0,0 +1,166 @@
+package lupinvalve.net;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import lupinvalve.core.Loop;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.session.IoSession;
+
+/**
+ * One connection. MINA's threads only frame what comes in and post it; all calls to the outside are made by the core
+ * thread, and none after {@link Events#closed}.
+ */
+public final class Link {
+    /** What happens on a connection, told on the core thread. */
+    public interface Events {
+        void opened(Link link);
+
+        /** Whole messages, in order, and when the last byte of them came. */
+        void messages(Link link, List<byte[]> messages, long atMicros);
+
+        /** The peer broke the protocol; the connection is still open for a last word. */
+        void malformed(Link link, String why);
+
+        /** The connection is over, or never came up. */
+        void closed(Link link);
+    }
+
+    /** What a peer may leave unread before its connection is closed. */
+    private static final long UNREAD_MOST = 1 << 20;
+
+    private final Loop loop;
+    private final Framer framer;
+    private final Events events;
+    // MINA's side.
+    private byte[] kept = new byte[0];
+    private int length;
+    private boolean deaf;
+    // The core's side.
+    private IoSession session;
+    private ConnectFuture dialling;
+    private long handed;
+    private boolean over;
+
+    Link(Loop loop, Framer framer, Events events) {
+        this.loop = loop;
+        this.framer = framer;
+        this.events = events;
+    }
+
+    // ---- MINA's threads ----
+
+    void dialling(ConnectFuture future) {
+        dialling = future;
+    }
+
+    void opened(IoSession opened) {
+        loop.post(() -> {
+            if (over) {
+                opened.closeNow();
+                return;
+            }
+            session = opened;
+            events.opened(this);
+        });
+    }
+
+    void received(IoBuffer in) {
+        if (deaf) {
+            return;
+        }
+        int more = in.remaining();
+        if (length + more > kept.length) {
+            kept = Arrays.copyOf(kept, Math.max(length + more, Math.min(kept.length * 2, kept.length + 65536)));
+        }
+        in.get(kept, length, more);
+        length += more;
+        List<byte[]> messages = new ArrayList<>(2);
+        String fault = null;
+        try {
+            int rest = framer.cut(kept, 0, length, messages);
+            System.arraycopy(kept, rest, kept, 0, length - rest);
+            length -= rest;
+            if (length == 0 && kept.length > 4096) {
+                // Guards against many connections each keeping the room of their largest message.
+                kept = new byte[0];
+            }
+        } catch (Framer.Malformed e) {
+            fault = e.getMessage();
+            deaf = true;
+        }
+        long at = loop.now();
+        String why = fault;
+        loop.post(() -> {
+            if (!over && !messages.isEmpty()) {
+                events.messages(this, messages, at);
+            }
+            if (!over && why != null) {
+                events.malformed(this, why);
+            }
+        });
+    }
+
+    void ended() {
+        loop.post(this::end);
+    }
+
+    private void end() {
+        if (!over) {
+            over = true;
+            events.closed(this);
+        }
+    }
+
+    // ---- the core thread ----
+
+    public void write(byte[]... parts) {
+        if (over || session == null) {
+            return;
+        }
+        int size = 0;
+        for (byte[] part : parts) {
+            size += part.length;
+        }
+        IoBuffer buffer = IoBuffer.allocate(size);
+        for (byte[] part : parts) {
+            buffer.put(part);
+        }
+        buffer.flip();
+        handed += size;
+        if (session.getScheduledWriteBytes() > UNREAD_MOST) {
+            session.closeNow();
+            return;
+        }
+        session.write(buffer);
+    }
+
+    /** Bytes given to {@link #write} so far. */
+    public long handed() {
+        return handed;
+    }
+
+    /** Whether any byte past the given count may have reached the socket. */
+    public boolean mayHaveLeft(long count) {
+        return session != null && session.getWrittenBytes() > count;
+    }
+
+    /** Closes once all that was written has been handed to the socket; no further events come. */
+    public void finish() {
+        over = true;
+        if (session != null) {
+            session.closeOnFlush();
+        }
+    }
+
+    /** Closes at once; no further events come. */
+    public void drop() {
+        over = true;
+        if (session != null) {
+            session.closeNow();
+        } else if (dialling != null) {
+            dialling.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -0,0 +1,149 @@
+package lupinvalve.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import lupinvalve.core.Loop;
+import lupinvalve.log.Log;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/** MINA as the program uses it: one processor thread for all connections, one acceptor a listener, one connector. */
+public final class Net {
+    private static final AttributeKey LINK = new AttributeKey(Net.class, "link");
+    private static final int BACKLOG = 512;
+
+    private final Loop loop;
+    private final Executor threads = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(null, work, "net", 256 << 10);
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final SimpleIoProcessorPool<NioSession> processor =
+            new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+    private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
+
+    public Net(Loop loop) {
+        this.loop = loop;
+        setUp(connector.getSessionConfig());
+        connector.setHandler(new Handler());
+    }
+
+    private static void setUp(SocketSessionConfig config) {
+        config.setTcpNoDelay(true);
+        config.setReadBufferSize(4096);
+        config.setMaxReadBufferSize(65536);
+    }
+
+    /** A port that is listened on. */
+    public final class Listener {
+        private final NioSocketAcceptor acceptor;
+
+        private Listener(NioSocketAcceptor acceptor) {
+            this.acceptor = acceptor;
+        }
+
+        public InetSocketAddress address() {
+            return acceptor.getLocalAddress();
+        }
+
+        /** Takes no new connections; those open stay. */
+        public void stop() {
+            threads.execute(acceptor::unbind);
+        }
+    }
+
+    /** Hands each connection's link to {@code accept}, which gives its events; it runs on MINA's thread. */
+    public Listener listen(InetSocketAddress address, Function<IoSession, Link> accept) throws IOException {
+        NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setCloseOnDeactivation(false);
+        setUp(acceptor.getSessionConfig());
+        acceptor.setHandler(new Handler() {
+            @Override
+            public void sessionCreated(IoSession session) {
+                session.setAttribute(LINK, accept.apply(session));
+            }
+        });
+        acceptor.bind(address);
+        return new Listener(acceptor);
+    }
+
+    /** Listens with the same events for all connections. */
+    public Listener listen(InetSocketAddress address, java.util.function.Supplier<Framer> framers,
+            Link.Events events) throws IOException {
+        return listen(address, session -> new Link(loop, framers.get(), events));
+    }
+
+    /** Starts to connect; {@link Link.Events#opened} or {@link Link.Events#closed} tells how that went. */
+    public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
+        Link link = new Link(loop, framer, events);
+        if (address.isUnresolved()) {
+            link.ended();
+            return link;
+        }
+        ConnectFuture future = connector.connect(address, (session, connecting) ->
+                session.setAttribute(LINK, link));
+        link.dialling(future);
+        future.addListener(done -> {
+            if (future.getException() != null || future.isCanceled()) {
+                link.ended();
+            }
+        });
+        return link;
+    }
+
+    /** Closes every connection and listener. */
+    public void close() {
+        threads.execute(() -> {
+            connector.dispose(false);
+            processor.dispose();
+        });
+    }
+
+    private static class Handler extends IoHandlerAdapter {
+        @Override
+        public void sessionOpened(IoSession session) {
+            link(session).opened(session);
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            link(session).received((IoBuffer) message);
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            session.closeNow();
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            link(session).ended();
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                Log.failure("connection", cause);
+            }
+            session.closeNow();
+        }
+
+        private static Link link(IoSession session) {
+            return (Link) session.getAttribute(LINK);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -0,0 +1,350 @@
+package lupinvalve.net;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import lupinvalve.Routing;
+import lupinvalve.Routing.Ending;
+import lupinvalve.core.Backend;
+import lupinvalve.core.Deadlines;
+import lupinvalve.core.Loop;
+import lupinvalve.core.Pooler;
+import lupinvalve.core.Slots;
+import lupinvalve.log.Log;
+
+/**
+ * Connections to db nodes, one request on each at a time. A protocol extends it with what it says and hears. Core
+ * thread only.
+ */
+public abstract class Pool implements Backend {
+    /** What goes out on a connection: an attempt, or a probe where {@code attempt} is -1. */
+    public static final class Job {
+        public final long attempt;
+        public final String node;
+        public final Object statement;
+        public final long waitMicros;
+        final long startedAt;
+
+        Job(long attempt, String node, Object statement, long waitMicros, long startedAt) {
+            this.attempt = attempt;
+            this.node = node;
+            this.statement = statement;
+            this.waitMicros = waitMicros;
+            this.startedAt = startedAt;
+        }
+
+        public boolean probe() {
+            return attempt < 0;
+        }
+
+        /** What is left of the wait. */
+        public long left(long now) {
+            return startedAt + waitMicros - now;
+        }
+    }
+
+    /** A connection to a db node; protocols add what they must remember of it. */
+    public static class Conn {
+        private final String node;
+        private long slot;
+        private Link link;
+        private boolean greeted, started;
+        private Job job;
+        private long before;
+        private Deadlines.Deadline limit;
+
+        protected Conn(String node) {
+            this.node = node;
+        }
+
+        public final Job job() {
+            return job;
+        }
+
+        public final void write(byte[]... parts) {
+            link.write(parts);
+        }
+    }
+
+    /** Bounds of a pool. */
+    public record Bounds(int connections, long connectMicros, long idleMicros, long probeMicros) {}
+
+    private final Net net;
+    private final Bounds bounds;
+    protected final Pooler pooler;
+    protected final Loop loop;
+    private final Slots<Conn> conns;
+    private final Map<String, ArrayDeque<Conn>> idle = new HashMap<>();
+    private final Map<Long, Conn> byAttempt = new HashMap<>();
+
+    protected Pool(Net net, Pooler pooler, Bounds bounds) {
+        this.net = net;
+        this.pooler = pooler;
+        this.bounds = bounds;
+        loop = pooler.loop();
+        conns = new Slots<>(bounds.connections());
+    }
+
+    // ---- what a protocol adds ----
+
+    protected abstract Framer framer();
+
+    protected abstract Conn connect(String node);
+
+    /** The connection is up; says the first word where that is the client's. */
+    protected abstract void opened(Conn conn);
+
+    /** Writes the job's request. */
+    protected abstract void start(Conn conn);
+
+    /** Takes a message; calls {@link #greeted} and {@link #done}. */
+    protected abstract void message(Conn conn, byte[] message);
+
+    /** The connection ended or is given up: what is already known of the job's end, or null. */
+    protected abstract Ending known(Conn conn);
+
+    // ---- what a protocol calls ----
+
+    /** The db node takes requests on this connection from now on. */
+    protected final void greeted(Conn conn) {
+        if (conn.greeted) {
+            return;
+        }
+        conn.greeted = true;
+        loop.drop(conn.limit);
+        if (conn.job == null) {
+            rest(conn);
+        } else {
+            begin(conn);
+        }
+    }
+
+    /** The job has its whole answer; the connection is free, or is closed where it can't be used again. */
+    protected final void done(Conn conn, boolean reusable, Ending ending, Object answer, long position,
+            Routing.Role role) {
+        Job job = conn.job;
+        release(conn);
+        if (reusable) {
+            rest(conn);
+        } else {
+            forget(conn);
+            conn.link.drop();
+        }
+        tell(job, ending, answer, position, role);
+    }
+
+    // ---- the core's calls ----
+
+    @Override
+    public final void send(long attempt, String node, String address, Object statement, long waitMicros) {
+        take(new Job(attempt, node, statement, waitMicros, loop.now()), address);
+    }
+
+    @Override
+    public final void probe(String node, String address) {
+        take(new Job(-1, node, null, bounds.probeMicros(), loop.now()), address);
+    }
+
+    private void take(Job job, String address) {
+        ArrayDeque<Conn> resting = idle.get(job.node);
+        // The one used last: the others may reach their idle time and be closed.
+        Conn conn = resting == null ? null : resting.pollLast();
+        if (conn == null) {
+            conn = open(job, address);
+        }
+        if (conn == null) {
+            tell(job, Ending.NOT_SENT, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
+            return;
+        }
+        loop.drop(conn.greeted ? conn.limit : null);
+        conn.job = job;
+        if (!job.probe()) {
+            byAttempt.put(job.attempt, conn);
+        }
+        if (conn.greeted) {
+            begin(conn);
+        }
+    }
+
+    private Conn open(Job job, String address) {
+        if (conns.full() && !evict()) {
+            Log.warn("no connection free for %s", job.node);
+            return null;
+        }
+        InetSocketAddress target;
+        try {
+            target = Addresses.parse(address);
+        } catch (IllegalArgumentException e) {
+            Log.warn("db node %s: %s", job.node, e.getMessage());
+            return null;
+        }
+        Conn conn = connect(job.node);
+        conn.slot = conns.put(conn);
+        conn.limit = loop.after(bounds.connectMicros(), () -> {
+            // Nothing of the request was handed over: the greeting never came.
+            forget(conn);
+            conn.link.drop();
+            lost(conn);
+        });
+        conn.link = net.dial(target, framer(), new Events(conn));
+        return conn;
+    }
+
+    /** Closes the connection that has rested longest at some db node, to make room. */
+    private boolean evict() {
+        for (ArrayDeque<Conn> resting : idle.values()) {
+            Conn conn = resting.pollFirst();
+            if (conn != null) {
+                loop.drop(conn.limit);
+                forget(conn);
+                conn.link.drop();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public final boolean abandon(long attempt) {
+        Conn conn = byAttempt.remove(attempt);
+        if (conn == null) {
+            return true;
+        }
+        boolean left = conn.started;
+        release(conn);
+        if (!conn.greeted) {
+            // The handshake is paid for: the connection may serve the next request.
+            return false;
+        }
+        forget(conn);
+        conn.link.drop();
+        return left;
+    }
+
+    @Override
+    public final void closeIdle(String node) {
+        ArrayDeque<Conn> resting = idle.remove(node);
+        if (resting != null) {
+            resting.forEach(conn -> {
+                loop.drop(conn.limit);
+                forget(conn);
+                conn.link.drop();
+            });
+        }
+    }
+
+    // ---- one connection ----
+
+    private void begin(Conn conn) {
+        conn.started = true;
+        conn.before = conn.link.handed();
+        if (conn.job.probe()) {
+            conn.limit = loop.after(conn.job.left(loop.now()), () -> {
+                Job job = conn.job;
+                release(conn);
+                forget(conn);
+                conn.link.drop();
+                tell(job, Ending.TIMED_OUT, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
+            });
+        }
+        start(conn);
+    }
+
+    private void release(Conn conn) {
+        if (conn.job != null) {
+            byAttempt.remove(conn.job.attempt);
+            if (conn.job.probe() && conn.greeted) {
+                loop.drop(conn.limit);
+            }
+        }
+        conn.job = null;
+        conn.started = false;
+    }
+
+    private void rest(Conn conn) {
+        ArrayDeque<Conn> resting = idle.computeIfAbsent(conn.node, n -> new ArrayDeque<>());
+        resting.addLast(conn);
+        conn.limit = loop.after(bounds.idleMicros(), () -> {
+            forget(conn);
+            conn.link.drop();
+        });
+    }
+
+    private void forget(Conn conn) {
+        conns.free(conn.slot);
+        ArrayDeque<Conn> resting = idle.get(conn.node);
+        if (resting != null) {
+            for (Iterator<Conn> it = resting.iterator(); it.hasNext();) {
+                if (it.next() == conn) {
+                    it.remove();
+                    break;
+                }
+            }
+        }
+    }
+
+    /** The connection is gone with its job: whether the request may have run depends on what was written. */
+    private void lost(Conn conn) {
+        Job job = conn.job;
+        if (job == null) {
+            return;
+        }
+        Ending known = known(conn);
+        boolean left = conn.started && conn.link.mayHaveLeft(conn.before);
+        Ending ending = known != null ? known : left ? Ending.BROKEN : Ending.NOT_CONNECTED;
+        release(conn);
+        tell(job, ending, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
+    }
+
+    private void tell(Job job, Ending ending, Object answer, long position, Routing.Role role) {
+        if (job.probe()) {
+            pooler.probed(job.node, ending, loop.now() - job.startedAt, position, role);
+        } else {
+            pooler.ended(job.attempt, ending, answer, position, role);
+        }
+    }
+
+    private final class Events implements Link.Events {
+        private final Conn conn;
+
+        Events(Conn conn) {
+            this.conn = conn;
+        }
+
+        @Override
+        public void opened(Link link) {
+            Pool.this.opened(conn);
+        }
+
+        @Override
+        public void messages(Link link, List<byte[]> messages, long atMicros) {
+            for (byte[] message : messages) {
+                if (conns.get(conn.slot) == conn) {
+                    message(conn, message);
+                }
+            }
+        }
+
+        @Override
+        public void malformed(Link link, String why) {
+            Log.warn("db node %s: %s", conn.node, why);
+            link.drop();
+            closed(link);
+        }
+
+        @Override
+        public void closed(Link link) {
+            loop.drop(conn.limit);
+            forget(conn);
+            lost(conn);
+        }
+    }
+
+    /** Whether the job's request has been written, so that what comes now answers it. */
+    protected final boolean begun(Conn conn) {
+        return conn.started;
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -0,0 +1,270 @@
+package lupinvalve.pg;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Arrays;
+import lupinvalve.Routing;
+import lupinvalve.core.Front;
+import lupinvalve.core.Pooler;
+import lupinvalve.core.Slots;
+import lupinvalve.core.Statement;
+import lupinvalve.net.Framer;
+import lupinvalve.net.Link;
+
+/** Speaks PostgreSQL's protocol to clients: simple queries, pipelined or not, answered in order. Core thread only. */
+public final class PgFront implements Front, Link.Events {
+    public static final String PROTOCOL = "pg";
+    /** Values of 64 KiB are 128 KiB as hexadecimal digits. */
+    private static final int MESSAGE_MOST = 160 << 10;
+    private static final int PIPELINED_MOST = 64;
+    /** Connections past the bound that are still told so, and for how long they may stay. */
+    private static final int EXTRA_MOST = 32;
+    private static final long EXTRA_WAIT = 250_000;
+    private final Pooler pooler;
+    private final Slots<Client> clients;
+    private final Slots<Reply> replies;
+    private final java.util.IdentityHashMap<Link, Client> byLink = new java.util.IdentityHashMap<>();
+    private boolean closing;
+    private int extra;
+
+    private static final class Client {
+        final Link link;
+        long slot;
+        boolean welcomed, last;
+        final ArrayDeque<Reply> due = new ArrayDeque<>();
+
+        Client(Link link) {
+            this.link = link;
+        }
+    }
+
+    /** An answer that is due on a connection; its bytes wait for those before it. */
+    private static final class Reply {
+        final Client client;
+        long request = -1, ticket;
+        byte[][] bytes;
+
+        Reply(Client client) {
+            this.client = client;
+        }
+    }
+
+    /** @param clientsMost connections held at once; those beyond are told 53300 */
+    public PgFront(Pooler pooler, int clientsMost) {
+        this.pooler = pooler;
+        clients = new Slots<>(clientsMost);
+        replies = new Slots<>(clientsMost * 8);
+    }
+
+    public Framer framer() {
+        return new PgFramer(true, MESSAGE_MOST);
+    }
+
+    // ---- connections ----
+
+    @Override
+    public void opened(Link link) {
+        if (clients.full()) {
+            // Answered once it has spoken: closing on unread bytes would reset the connection before the answer.
+            if (++extra > EXTRA_MOST) {
+                extra--;
+                link.drop();
+            } else {
+                pooler.loop().after(EXTRA_WAIT, () -> {
+                    extra--;
+                    link.drop();
+                });
+            }
+            return;
+        }
+        Client client = new Client(link);
+        client.slot = clients.put(client);
+        byLink.put(link, client);
+    }
+
+    @Override
+    public void closed(Link link) {
+        Client client = byLink.remove(link);
+        if (client != null) {
+            drop(client);
+        }
+    }
+
+    private void drop(Client client) {
+        byLink.remove(client.link);
+        clients.free(client.slot);
+        for (Reply reply : client.due) {
+            if (reply.bytes == null) {
+                replies.free(reply.ticket);
+                pooler.gone(reply.request);
+            }
+        }
+        client.due.clear();
+    }
+
+    @Override
+    public void malformed(Link link, String why) {
+        Client client = byLink.get(link);
+        if (client != null) {
+            client.last = true;
+            answer(client, PgMessages.error("FATAL", "08P01", why, null));
+        }
+    }
+
+    @Override
+    public void messages(Link link, List<byte[]> messages, long atMicros) {
+        Client client = byLink.get(link);
+        if (client == null) {
+            link.write(PgMessages.error("FATAL", "53300", "too many clients", null));
+            link.finish();
+            return;
+        }
+        for (byte[] message : messages) {
+            if (client.last || clients.get(client.slot) != client) {
+                return;
+            }
+            if (!client.welcomed) {
+                startup(client, message);
+            } else {
+                command(client, message, atMicros);
+            }
+        }
+    }
+
+    private void startup(Client client, byte[] message) {
+        int code = PgFramer.int32(message, 4);
+        if (code == PgFramer.SSL_REQUEST || code == PgFramer.GSS_REQUEST) {
+            client.link.write(PgMessages.NO);
+        } else if (code == PgFramer.CANCEL_REQUEST) {
+            drop(client);
+            client.link.finish();
+        } else if (code >> 16 != 3) {
+            client.last = true;
+            answer(client, PgMessages.error("FATAL", "0A000", "protocol version 3 only", null));
+        } else {
+            client.welcomed = true;
+            client.link.write(PgMessages.AUTHENTICATED, PgMessages.texts('S', "server_version", "15.0"),
+                    PgMessages.texts('S', "client_encoding", "UTF8"), PgMessages.READY);
+        }
+    }
+
+    private void command(Client client, byte[] message, long atMicros) {
+        switch (message[0]) {
+            case 'Q' -> query(client, message, atMicros);
+            case 'X' -> {
+                client.last = true;
+                flush(client);
+            }
+            case 'S' -> answer(client, PgMessages.READY);
+            case 'P', 'B', 'E', 'D', 'C', 'F', 'H', 'd', 'c', 'f' -> {
+                client.last = true;
+                answer(client, PgMessages.error("FATAL", "0A000", "simple queries only", null));
+            }
+            default -> {
+                client.last = true;
+                answer(client, PgMessages.error("FATAL", "08P01", "unknown message type", null));
+            }
+        }
+    }
+
+    private void query(Client client, byte[] message, long atMicros) {
+        if (message[message.length - 1] != 0) {
+            client.last = true;
+            answer(client, PgMessages.error("FATAL", "08P01", "a query ends with a zero byte", null));
+            return;
+        }
+        byte[] text = Arrays.copyOfRange(message, 5, message.length - 1);
+        String word = firstWord(text);
+        if (word.isEmpty()) {
+            answer(client, PgMessages.EMPTY, PgMessages.READY);
+        } else if (word.equals("SET") || word.equals("RESET") || word.equals("DISCARD")) {
+            answer(client, PgMessages.texts('C', word), PgMessages.READY);
+        } else if (client.due.size() >= PIPELINED_MOST || replies.full()) {
+            answer(client, refusal(pooler.settings().limits().maxRetryAfterMicros()), PgMessages.READY);
+        } else {
+            ask(client, new Statement(text), atMicros);
+        }
+    }
+
+    private void ask(Client client, Statement statement, long atMicros) {
+        try {
+            Pooler.Ask ask = statement.ask(pooler.settings().classes(), atMicros, null, PROTOCOL, statement);
+            Reply reply = new Reply(client);
+            client.due.add(reply);
+            reply.ticket = replies.put(reply);
+            reply.request = pooler.request(this, reply.ticket, ask);
+        } catch (Statement.Unclear e) {
+            answer(client, PgMessages.error("ERROR", "42601", e.getMessage(), null), PgMessages.READY);
+        }
+    }
+
+    private static String firstWord(byte[] text) {
+        int from = 0;
+        while (from < text.length && (text[from] <= ' ' || text[from] == ';')) {
+            from++;
+        }
+        int to = from;
+        while (to < text.length && to - from < 16 && text[to] > ' ' && text[to] != ';') {
+            to++;
+        }
+        return new String(text, from, to - from, java.nio.charset.StandardCharsets.ISO_8859_1)
+                .toUpperCase(java.util.Locale.ROOT);
+    }
+
+    // ---- answers ----
+
+    private static byte[] refusal(long retryAfterMicros) {
+        return PgMessages.error("ERROR", "53300", "refused: a repeat does no harm",
+                retryAfterMicros > 0 ? Long.toString((retryAfterMicros + 999) / 1000) : null);
+    }
+
+    @Override
+    public void served(long ticket, Object answer, long position, Routing.Role role) {
+        settle(ticket, (byte[]) answer);
+    }
+
+    @Override
+    public void refused(long ticket, long retryAfterMicros) {
+        settle(ticket, refusal(retryAfterMicros));
+    }
+
+    @Override
+    public void failed(long ticket) {
+        settle(ticket, PgMessages.error("ERROR", "58000", "failed: it may have run", null));
+    }
+
+    private void settle(long ticket, byte[] bytes) {
+        Reply reply = replies.free(ticket);
+        if (reply != null) {
+            reply.bytes = new byte[][] {bytes, PgMessages.READY};
+            flush(reply.client);
+        }
+    }
+
+    private void answer(Client client, byte[]... bytes) {
+        Reply reply = new Reply(client);
+        reply.bytes = bytes;
+        client.due.add(reply);
+        flush(client);
+    }
+
+    private void flush(Client client) {
+        while (!client.due.isEmpty() && client.due.peek().bytes != null) {
+            client.link.write(client.due.poll().bytes);
+        }
+        if (client.due.isEmpty() && (client.last || closing) && clients.get(client.slot) == client) {
+            drop(client);
+            client.link.finish();
+        }
+    }
+
+    /** Closes connections as soon as nothing is due on them. */
+    public void close() {
+        closing = true;
+        clients.each(this::flush);
+    }
+
+    public int open() {
+        return clients.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/pg/PgMessages.java
@@ -0,0 +1,77 @@
+package lupinvalve.pg;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+
+/** PostgreSQL's messages, as far as the pooler words any itself. */
+final class PgMessages {
+    static final byte[] READY = message('Z', new byte[] {'I'});
+    static final byte[] EMPTY = message('I', new byte[0]);
+    static final byte[] AUTHENTICATED = message('R', new byte[4]);
+    /** SSL is not spoken here. */
+    static final byte[] NO = {'N'};
+
+    private PgMessages() {}
+
+    static byte[] message(char type, byte[] body) {
+        byte[] out = new byte[body.length + 5];
+        out[0] = (byte) type;
+        put32(out, 1, body.length + 4);
+        System.arraycopy(body, 0, out, 5, body.length);
+        return out;
+    }
+
+    private static void put32(byte[] out, int at, int value) {
+        for (int i = 0; i < 4; i++) {
+            out[at + i] = (byte) (value >> 24 - 8 * i);
+        }
+    }
+
+    /** A message whose body is texts, each ended by a zero byte. */
+    static byte[] texts(char type, String... texts) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        for (String text : texts) {
+            body.writeBytes(text.getBytes(UTF_8));
+            body.write(0);
+        }
+        return message(type, body.toByteArray());
+    }
+
+    /** An ErrorResponse; {@code detail} may be null. */
+    static byte[] error(String severity, String code, String text, String detail) {
+        return detail == null ? texts('E', "S" + severity, "V" + severity, "C" + code, "M" + text, "")
+                : texts('E', "S" + severity, "V" + severity, "C" + code, "M" + text, "D" + detail, "");
+    }
+
+    static byte[] startup(String user, String database) {
+        byte[] typed = texts(' ', "user", user, "database", database, "");
+        byte[] out = new byte[typed.length + 3];
+        put32(out, 0, out.length);
+        put32(out, 4, 196608);
+        System.arraycopy(typed, 5, out, 8, typed.length - 5);
+        return out;
+    }
+
+    /** The text that starts at a place and ends before the next zero byte. */
+    static String text(byte[] message, int from) {
+        int to = from;
+        while (to < message.length && message[to] != 0) {
+            to++;
+        }
+        return new String(message, from, to - from, UTF_8);
+    }
+
+    /** A field of an ErrorResponse, or an empty text. */
+    static String errorField(byte[] message, char field) {
+        for (int at = 5; at < message.length && message[at] != 0; at++) {
+            if (message[at] == field) {
+                return text(message, at + 1);
+            }
+            while (at < message.length && message[at] != 0) {
+                at++;
+            }
+        }
+        return "";
+    }
+}
--- a/src/main/java/lupinvalve/wire/BatchReader.java
+++ b/src/main/java/lupinvalve/wire/BatchReader.java
@@ -184,7 +184,7 @@
         };
     }
 
-    private static Map<String, Object> object(JsonParser in) throws IOException {
+    static Map<String, Object> object(JsonParser in) throws IOException {
         Map<String, Object> fields = new LinkedHashMap<>(32);
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String name = in.currentName();
--- a/src/main/java/lupinvalve/wire/SettingsReader.java
+++ b/src/main/java/lupinvalve/wire/SettingsReader.java
@@ -1,13 +1,33 @@
 package lupinvalve.wire;
 
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import lupinvalve.Routing;
 
 /** Reads the settings of a start; unknown ones are skipped. */
-final class SettingsReader {
+public final class SettingsReader {
     private SettingsReader() {}
 
+    /**
+     * The settings as a real pooler needs them.
+     *
+     * @param connectMicros a connection not up within this time is given up
+     * @param keepaliveMicros an idle connection is closed by the db node after this time
+     */
+    public record Site(Routing.Settings settings, long connectMicros, long keepaliveMicros, List<String> zones) {}
+
+    /** Reads the settings object that the parser stands at. */
+    public static Site read(JsonParser in) throws IOException {
+        Fields env = new Fields("settings", BatchReader.object(in));
+        Fields limits = env.object("ceilings");
+        List<String> zones = new ArrayList<>();
+        env.arrayOrEmpty("dcs").forEach(zone -> zones.add(String.valueOf(zone)));
+        return new Site(read(env), limits.wholeOr("connect_timeout_us", 250_000),
+                limits.wholeOr("keepalive_us", 15_000_000), zones);
+    }
+
     static Routing.Settings read(Fields env) {
         Fields limits = env.object("ceilings");
         Fields rules = env.object("guarantees");
