--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -7,17 +7,24 @@
 import lupinvalve.Router;
 import lupinvalve.Routing;
 import lupinvalve.config.NodeConfig;
+import lupinvalve.config.OperatorConfig;
 import lupinvalve.core.Directory;
 import lupinvalve.core.Loop;
 import lupinvalve.core.Pooler;
+import lupinvalve.discovery.DnsDirectory;
 import lupinvalve.discovery.HttpDirectory;
 import lupinvalve.discovery.ListReader;
 import lupinvalve.log.Log;
+import lupinvalve.mysql.MysqlBackend;
+import lupinvalve.mysql.MysqlFront;
 import lupinvalve.net.Addresses;
 import lupinvalve.net.Net;
 import lupinvalve.net.Pool;
 import lupinvalve.pg.PgBackend;
 import lupinvalve.pg.PgFront;
+import lupinvalve.store.Replicator;
+import lupinvalve.store.Store;
+import lupinvalve.store.StoreFile;
 
 /** One pooler with all its parts. */
 public final class Daemon {
@@ -26,29 +33,79 @@
     /** Descriptors kept for files, listeners, discovery and the JVM. */
     private static final int SPARE = 64;
     private static final long PROBE = 250_000;
+    private static final String DOCUMENT = "operator";
     private final NodeConfig config;
     private final Loop loop = new Loop();
     private final Net net = new Net(loop);
     private final Pooler pooler;
     private final PgFront front;
     private Net.Listener listener;
+    // What an operator may turn on.
+    private OperatorConfig operator;
+    private MysqlFront mysql;
+    private Net.Listener mysqlListener;
+    private StoreFile file;
+    private Replicator replicator;
 
-    public Daemon(NodeConfig config) {
+    public Daemon(NodeConfig config, OperatorConfig file) throws IOException {
         this.config = config;
+        operator = file;
         pooler = new Pooler(loop, config.site().settings());
+        if (operator.store() != null) {
+            openStore();
+        }
+        // Two fronts and two pools share the sockets that one of each would have.
+        int parts = operator.mysql() == null ? 1 : 2;
         int sockets = Math.max(64, config.sockets() - SPARE);
-        front = new PgFront(pooler, Math.min(600, sockets * 5 / 9));
-        int conns = Math.min(480, sockets * 4 / 9);
-        Pool.Bounds bounds = new Pool.Bounds(conns, config.site().connectMicros(),
+        int clients = Math.min(600, sockets * 5 / 9) / parts;
+        front = new PgFront(pooler, clients);
+        Pool.Bounds bounds = new Pool.Bounds(Math.min(480, sockets * 4 / 9) / parts, config.site().connectMicros(),
                 config.site().keepaliveMicros() * 7 / 10, PROBE);
         pooler.backend(PgFront.PROTOCOL, new PgBackend(net, pooler, bounds, "api", "ledger"));
+        if (operator.mysql() != null) {
+            OperatorConfig.Mysql m = operator.mysql();
+            mysql = new MysqlFront(pooler, clients, m.user(), m.password());
+            pooler.backend(MysqlFront.PROTOCOL,
+                    new MysqlBackend(net, pooler, bounds, m.nodeUser(), m.nodePassword(), m.database()));
+        }
         pooler.directory(directory());
     }
 
+    /** The store first: the operator's document of the highest revision says how the rest is set up. */
+    private void openStore() throws IOException {
+        Store store = new Store(loop, operator.store().name());
+        file = new StoreFile(loop, store, operator.store().folder());
+        file.open();
+        store.put(DOCUMENT, operator.revision(), operator.shared());
+        operator = operator.with(store.document(DOCUMENT));
+        store.watch(DOCUMENT, this::changed);
+        replicator = new Replicator(net, loop, store, operator.store().secret());
+        pooler.marks(store);
+    }
+
+    /** A later document has come from another replica: the account holds at once, the rest at the next start. */
+    private void changed(byte[] document) {
+        try {
+            operator = operator.with(document);
+            if (mysql != null && operator.mysql() != null) {
+                mysql.account(operator.mysql().user(), operator.mysql().password());
+            }
+            Log.info("operator's document, revision %d: account taken over, the rest at the next start",
+                    operator.revision());
+        } catch (IOException e) {
+            Log.warn("operator's document: %s", e.getMessage());
+        }
+    }
+
     private Directory directory() {
-        ListReader reader = new ListReader(config.site().zones(), null);
-        return new HttpDirectory(net, pooler, Addresses.parse(config.discovery()), reader,
-                config.known().revision());
+        Integer port = operator.mysql() == null ? null : operator.mysql().nodePort();
+        if (operator.dnsSd() != null) {
+            return new DnsDirectory(pooler, Addresses.parse(operator.dnsSd().resolver()),
+                    operator.dnsSd().service(), operator.dnsSd().pollMicros(), port == null ? 3306 : port,
+                    config.site().zones());
+        }
+        return new HttpDirectory(net, pooler, Addresses.parse(config.discovery()),
+                new ListReader(config.site().zones(), port), config.known().revision());
     }
 
     /** Starts serving; returns once the port is open. */
@@ -56,6 +113,14 @@
         warmUp();
         loop.start();
         loop.post(() -> pooler.start(config.seed(), config.known().entries()));
+        if (replicator != null) {
+            replicator.listen(Addresses.parse(operator.store().listen()));
+            loop.post(() -> operator.store().peers().forEach(peer -> replicator.peer(Addresses.parse(peer))));
+        }
+        if (mysql != null && operator.mysql().listen() != null) {
+            mysqlListener = net.listen(Addresses.parse(operator.mysql().listen()), mysql::framer, mysql);
+            Log.info("%s speaks MySQL on %s", config.name(), mysqlListener.address());
+        }
         listener = net.listen(Addresses.parse(config.listen()), front::framer, front);
         Log.info("%s listens on %s", config.name(), config.listen());
     }
@@ -64,6 +129,19 @@
         return listener.address();
     }
 
+    public InetSocketAddress mysqlAddress() {
+        return mysqlListener.address();
+    }
+
+    public InetSocketAddress storeAddress() {
+        return replicator.address();
+    }
+
+    /** Adds a replica of the store to those that the operator's file names. */
+    public void peer(InetSocketAddress address) {
+        loop.post(() -> replicator.peer(address));
+    }
+
     /** Ends without losing what was taken; {@code then} runs when all is answered. */
     public void drain(Runnable then) {
         loop.post(() -> {
@@ -71,13 +149,17 @@
             loop.after(LINGER, () -> {
                 listener.stop();
                 front.close();
+                if (mysqlListener != null) {
+                    mysqlListener.stop();
+                    mysql.close();
+                }
                 settle(then);
             });
         });
     }
 
     private void settle(Runnable then) {
-        if (pooler.open() == 0 && front.open() == 0) {
+        if (pooler.open() == 0 && front.open() == 0 && (mysql == null || mysql.open() == 0)) {
             // The last answers are with MINA's thread; it hands them to the sockets in no time.
             loop.after(50_000, then);
         } else {
@@ -85,7 +167,20 @@
         }
     }
 
+    /** Writes what the store holds; from any thread but the core's. */
+    public void save() {
+        if (file != null) {
+            file.close();
+        }
+    }
+
+    /** Drops everything at once, as if killed, but for what the store has written. */
     public void stop() {
+        loop.post(() -> {
+            if (replicator != null) {
+                replicator.stop();
+            }
+        });
         net.close();
         loop.stop();
     }
--- a/src/main/java/lupinvalve/cli/Files.java
+++ b/src/main/java/lupinvalve/cli/Files.java
@@ -1,6 +1,9 @@
 package lupinvalve.cli;
 
+import java.io.IOException;
 import java.nio.file.Path;
+import lupinvalve.config.NodeConfig;
+import lupinvalve.config.OperatorConfig;
 import org.kohsuke.args4j.Option;
 
 /** The files that commands read. */
@@ -9,9 +12,19 @@
     private Path config;
 
     @Option(name = "--operator", metaVar = "FILE", usage = "the operator's file: MySQL front, store, DNS-SD")
-    Path operator;
+    private Path operator;
 
-    Path config() {
+    OperatorConfig operator() throws IOException {
+        return operator == null ? OperatorConfig.NONE
+                : OperatorConfig.read(java.nio.file.Files.readAllBytes(operator));
+    }
+
+    /** The platform's file, with db nodes' addresses as the operator's has them. */
+    NodeConfig node(OperatorConfig operatorConfig) throws IOException {
+        return NodeConfig.read(config(), operatorConfig.mysql() == null ? null : operatorConfig.mysql().nodePort());
+    }
+
+    private Path config() {
         if (config != null) {
             return config;
         }
--- a/src/main/java/lupinvalve/cli/Serve.java
+++ b/src/main/java/lupinvalve/cli/Serve.java
@@ -1,7 +1,7 @@
 package lupinvalve.cli;
 
 import java.util.concurrent.CountDownLatch;
-import lupinvalve.config.NodeConfig;
+import lupinvalve.config.OperatorConfig;
 import lupinvalve.log.Log;
 import org.kohsuke.args4j.Option;
 
@@ -15,7 +15,8 @@
         if (debug) {
             Log.least(Log.Level.DEBUG);
         }
-        Daemon daemon = new Daemon(NodeConfig.read(config(), null));
+        OperatorConfig operator = operator();
+        Daemon daemon = new Daemon(node(operator), operator);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             // SIGTERM: what was taken is answered first, and that is no failure.
@@ -25,6 +26,7 @@
             } catch (InterruptedException e) {
                 Log.warn("interrupted while draining");
             }
+            daemon.save();
             Log.info("stopped");
             Runtime.getRuntime().halt(0);
         }, "drain"));
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -35,7 +35,7 @@
         final long ticket;
         final Ask ask;
         String id;
-        long handle;
+        long handle, token;
         int attempts;
         boolean answered;
         Deadlines.Deadline overtime;
@@ -125,8 +125,10 @@
         long now = loop.now();
         long left = ask.expiresMicros() - now;
         long after = ask.afterMicros();
-        if (ask.session() != null) {
-            after = Math.max(after, marks.lastCommit(ask.session()));
+        long marked = ask.session() == null ? 0 : marks.lastCommit(ask.session());
+        if (marked > after && access(held) == Routing.Access.SESSION) {
+            held.token = marked;
+            after = marked;
         }
         // A commit is rounded up, so it may lie in the future: no age would mean no token.
         long age = after > 0 ? Math.max(1, now - after) : 0;
@@ -146,7 +148,7 @@
     }
 
     /** An attempt has ended. The first served one is the request's final answer. */
-    public void ended(long handle, Ending ending, Object answer, long position, Routing.Role role) {
+    public void ended(long handle, Ending told, Object answer, long position, Routing.Role role) {
         Attempt a = attempts.free(handle);
         if (a == null) {
             return;
@@ -154,6 +156,9 @@
         loop.drop(a.timeout);
         Held held = a.of;
         long now = loop.now();
+        // A token that the statement does not carry can't be checked by the db node: its answer's position is.
+        boolean behind = told == Ending.SERVED && role != Routing.Role.PRIMARY && position < held.token;
+        Ending ending = behind ? Ending.MISSED : told;
         if (Log.debugs()) {
             Log.debug("%s#%d %s %s after %d us", held.id, a.number, a.node, ending, now - a.sentAt);
         }
--- a/src/main/java/lupinvalve/discovery/ListReader.java
+++ b/src/main/java/lupinvalve/discovery/ListReader.java
@@ -64,6 +64,7 @@
     private Directory.Entry entry(JsonParser in) throws IOException {
         String id = null;
         String address = null;
+        String mysql = null;
         String phase = "";
         String zone = "";
         boolean primary = false;
@@ -75,6 +76,7 @@
             switch (name) {
                 case "id" -> id = in.getValueAsString();
                 case "host_port" -> address = in.getValueAsString();
+                case "mysql_host_port" -> mysql = in.getValueAsString();
                 case "locality" -> zone = in.getValueAsString("");
                 case "cell" -> cell = in.getValueAsInt();
                 case "phase" -> phase = in.getValueAsString("");
@@ -93,17 +95,20 @@
             default -> throw new IOException("list: phase " + phase);
         };
         return new Directory.Entry(new Routing.Member(id, cell, zones.getOrDefault(zone, 0), health, primary, born),
-                addresses(address));
+                addresses(address, mysql));
     }
 
-    private Map<String, String> addresses(String address) {
-        if (address == null) {
-            return Map.of();
+    /** Where an entry names no address for MySQL, its port is the one that the operator gave for all. */
+    private Map<String, String> addresses(String address, String mysql) {
+        Map<String, String> addresses = new HashMap<>();
+        if (address != null) {
+            addresses.put("pg", address);
         }
-        if (mysqlPort == null) {
-            return Map.of("pg", address);
+        if (mysql != null) {
+            addresses.put("mysql", mysql);
+        } else if (address != null && mysqlPort != null) {
+            addresses.put("mysql", address.substring(0, Math.max(0, address.lastIndexOf(':'))) + ":" + mysqlPort);
         }
-        int colon = Math.max(0, address.lastIndexOf(':'));
-        return Map.of("pg", address, "mysql", address.substring(0, colon) + ":" + mysqlPort);
+        return addresses;
     }
 }
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -49,13 +49,15 @@
     /** A port that is listened on. */
     public final class Listener {
         private final NioSocketAcceptor acceptor;
+        private final InetSocketAddress address;
 
         private Listener(NioSocketAcceptor acceptor) {
             this.acceptor = acceptor;
+            address = acceptor.getLocalAddress();
         }
 
         public InetSocketAddress address() {
-            return acceptor.getLocalAddress();
+            return address;
         }
 
         /** Takes no new connections; those open stay. */
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -97,7 +97,7 @@
     /** The connection is up; says the first word where that is the client's. */
     protected abstract void opened(Conn conn);
 
-    /** Writes the job's request. */
+    /** Writes the job's request, with {@link #leaving} before that; what prepares it may go first. */
     protected abstract void start(Conn conn);
 
     /** Takes a message; calls {@link #greeted} and {@link #done}. */
@@ -136,6 +136,14 @@
         tell(job, ending, answer, position, role);
     }
 
+    /** Nothing more can be read from the connection: it is closed, and its job ends as if it had broken. */
+    protected final void broken(Conn conn) {
+        conn.link.drop();
+        loop.drop(conn.limit);
+        forget(conn);
+        lost(conn);
+    }
+
     // ---- the core's calls ----
 
     @Override
@@ -239,8 +247,6 @@
     // ---- one connection ----
 
     private void begin(Conn conn) {
-        conn.started = true;
-        conn.before = conn.link.handed();
         if (conn.job.probe()) {
             conn.limit = loop.after(conn.job.left(loop.now()), () -> {
                 Job job = conn.job;
@@ -294,7 +300,9 @@
         }
         Ending known = known(conn);
         boolean left = conn.started && conn.link.mayHaveLeft(conn.before);
-        Ending ending = known != null ? known : left ? Ending.BROKEN : Ending.NOT_CONNECTED;
+        // An error in the greeting is no word on the request: that has not left.
+        Ending ending = known != null && (left || known.neverRan) ? known
+                : left ? Ending.BROKEN : Ending.NOT_CONNECTED;
         release(conn);
         tell(job, ending, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
     }
@@ -331,8 +339,7 @@
         @Override
         public void malformed(Link link, String why) {
             Log.warn("db node %s: %s", conn.node, why);
-            link.drop();
-            closed(link);
+            broken(conn);
         }
 
         @Override
@@ -343,6 +350,12 @@
         }
     }
 
+    /** Called right before the request itself is written: from here on it may have run. */
+    protected final void leaving(Conn conn) {
+        conn.started = true;
+        conn.before = conn.link.handed();
+    }
+
     /** Whether the job's request has been written, so that what comes now answers it. */
     protected final boolean begun(Conn conn) {
         return conn.started;
--- a/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/src/main/java/lupinvalve/pg/PgBackend.java
@@ -62,6 +62,7 @@
         c.row = null;
         c.position = Routing.NO_POSITION;
         c.role = Routing.Role.UNKNOWN;
+        leaving(c);
         if (c.job().probe()) {
             c.write(PROBE);
             return;
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -144,7 +144,9 @@
         } else {
             client.welcomed = true;
             client.link.write(PgMessages.AUTHENTICATED, PgMessages.texts('S', "server_version", "15.0"),
-                    PgMessages.texts('S', "client_encoding", "UTF8"), PgMessages.READY);
+                    PgMessages.texts('S', "client_encoding", "UTF8"),
+                    PgMessages.texts('S', "standard_conforming_strings", "on"),
+                    PgMessages.texts('S', "integer_datetimes", "on"), PgMessages.READY);
         }
     }
 
