Test the MySQL front with MySQL's own driver before stand-in servers

Seen: Connector/J's executes were told 'types of parameters are missing'. Checked: it sends the count and names of parameters whenever query attributes are agreed on, with or without the flag that announces them (MysqlFront.execute read them only with the flag). Ruled out: the stand-in, which reads what the backend writes.

--- a/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -349,9 +349,8 @@
         List<MysqlRequest.LongData> ahead = statement.ahead;
         List<Params.Param> params = List.of();
         boolean named = client.has(Protocol.QUERY_ATTRIBUTES);
-        boolean counted = named && (flags & Protocol.COUNT_TOLD) != 0;
         int count = statement.places;
-        if (counted && (count > 0 || in.left() > 0)) {
+        if (named && (count > 0 || (flags & Protocol.COUNT_TOLD) != 0)) {
             count = bounded(in.lenenc());
         }
         if (count < statement.places) {
@@ -364,7 +363,7 @@
                 int param = i;
                 sentAhead.add(ahead.stream().anyMatch(piece -> piece.param() == param));
             }
-            params = Params.read(in, count, counted, statement.types, sentAhead);
+            params = Params.read(in, count, named, statement.types, sentAhead);
             statement.types = params;
         }
         statement.ahead = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/lupinvalve/mysql/MysqlTest.java
@@ -0,0 +1,266 @@
+package lupinvalve.mysql;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.mysql.cj.jdbc.JdbcStatement;
+import java.io.ByteArrayInputStream;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.List;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.stories.DbNode;
+import lupinvalve.stories.DbNode.Makes;
+import lupinvalve.stories.World;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The MySQL front by MySQL's own driver, before stand-ins for MySQL servers. */
+class MysqlTest {
+    @TempDir
+    Path folder;
+    private final DbNode primary, replica;
+    private final MysqlPort primaryPort, replicaPort;
+
+    MysqlTest() throws Exception {
+        primary = new DbNode("s-1", true);
+        replica = new DbNode("s-2", false);
+        primaryPort = new MysqlPort(primary, true);
+        replicaPort = new MysqlPort(replica, false);
+    }
+
+    private World world() throws Exception {
+        return new World(new OperatorConfig(1, new OperatorConfig.Mysql("127.0.0.1:0", "portal", "towel", 0,
+                MysqlPort.USER, MysqlPort.PASSWORD, ""),
+                new OperatorConfig.Store("n0", folder, "127.0.0.1:0", List.of(), ""), null), primary, replica);
+    }
+
+    private static Connection client(World world) throws SQLException {
+        return world.mysql("portal", "towel");
+    }
+
+    private static String comment(String cls, String id, int wait) {
+        return " /* id=" + id + ",c=" + cls + ",t=acme,d=" + wait + ",cluster=1 */";
+    }
+
+    private static String read(String cls, String id, int wait) {
+        return "SELECT blob FROM rows WHERE handle = 'k1'" + comment(cls, id, wait);
+    }
+
+    private static String booking(String id, int wait) {
+        return "INSERT INTO rows (handle, blob) VALUES ('k1', 'x') RETURNING blob"
+                + comment("pickup-booking", id, wait);
+    }
+
+    /** JDBC takes a write for one without rows, so each statement is told apart by what it gives. */
+    private static String value(Statement statement, String query) throws SQLException {
+        boolean rows = statement instanceof PreparedStatement prepared ? prepared.execute() : statement.execute(query);
+        assertTrue(rows);
+        try (ResultSet set = statement.getResultSet()) {
+            assertTrue(set.next());
+            return set.getString(1);
+        }
+    }
+
+    private static String value(PreparedStatement statement) throws SQLException {
+        return value(statement, null);
+    }
+
+    private static String end(Connection client, String query) throws SQLException {
+        try (Statement statement = client.createStatement()) {
+            return value(statement, query);
+        } catch (SQLException e) {
+            return e.getErrorCode() == 0 ? e.getSQLState() : Integer.toString(e.getErrorCode());
+        }
+    }
+
+    @Test
+    void an_account_is_checked() throws Exception {
+        try (World world = world()) {
+            assertThrows(SQLException.class, () -> world.mysql("portal", "wrong").close());
+            assertThrows(SQLException.class, () -> world.mysql("stranger", "towel").close());
+            try (Connection client = client(world)) {
+                assertTrue(client.isValid(1));
+            }
+        }
+    }
+
+    @Test
+    void statements_are_served_plain_and_prepared_with_their_fields_in_attributes_or_the_comment() throws Exception {
+        try (World world = world(); Connection client = client(world)) {
+            assertEquals("value", end(client, read("bag-status", "a1", 900)));
+            try (Statement plain = client.createStatement()) {
+                JdbcStatement named = plain.unwrap(JdbcStatement.class);
+                named.setAttribute("c", "pickup-booking");
+                named.setAttribute("id", "a2");
+                named.setAttribute("d", 900);
+                named.setAttribute("cluster", 1);
+                assertEquals("value", value(plain, "INSERT INTO rows VALUES ('k1', 'x') RETURNING blob"));
+            }
+            assertEquals(1, primary.runs.get("a2"));
+            try (PreparedStatement write = client.prepareStatement("INSERT INTO rows VALUES (?, ?) RETURNING blob"
+                    + comment("pickup-booking", "a3", 900))) {
+                write.setString(1, "k1");
+                write.setBinaryStream(2, new ByteArrayInputStream("sheets".getBytes()));
+                assertEquals("value", value(write));
+                write.setString(1, "k2");
+                write.setString(2, "towels");
+                assertEquals("value", value(write));
+            }
+            int last = primary.seen.size() - 1;
+            assertTrue(primary.seen.get(last - 1).endsWith(" <k1> <sheets>"), primary.seen.get(last - 1));
+            assertTrue(primary.seen.get(last).endsWith(" <k2> <towels>"), primary.seen.get(last));
+            assertEquals(1, primaryPort.prepares.get());
+        }
+    }
+
+    @Test
+    void a_statement_prepared_before_a_drain_executes_on_another_db_node() throws Exception {
+        DbNode other = new DbNode("s-3", false);
+        MysqlPort otherPort = new MysqlPort(other, true);
+        try (World world = new World(new OperatorConfig(1, new OperatorConfig.Mysql("127.0.0.1:0", "portal", "towel", 0,
+                MysqlPort.USER, MysqlPort.PASSWORD, ""), null, null), primary, replica, other);
+                Connection client = client(world); PreparedStatement read = client.prepareStatement(
+                        "SELECT blob FROM rows WHERE handle = ?" + comment("bag-status", "b1", 900))) {
+            read.setString(1, "k1");
+            assertEquals("value", value(read));
+            // Whichever of the two replicas ran it leaves.
+            DbNode first = replica.seen.isEmpty() ? other : replica;
+            DbNode second = first == other ? replica : other;
+            world.phase(first, "terminated");
+            World.await("told", () -> first.open.get() == 0);
+            int before = first.seen.size();
+            for (int i = 0; i < 5; i++) {
+                assertEquals("value", value(read));
+            }
+            assertEquals(before, first.seen.size());
+            assertEquals(5, second.seen.size());
+            assertEquals(1, (second == other ? otherPort : replicaPort).prepares.get());
+        }
+    }
+
+    @Test
+    void deadlines_refusals_and_errors_end_as_documented() throws Exception {
+        try (World world = world(); Connection client = client(world)) {
+            primary.script.add(Makes.HANG);
+            long start = System.nanoTime();
+            assertEquals("1105", end(client, booking("c1", 300)));
+            assertTrue(System.nanoTime() - start < 350_000_000L);
+            primary.script.add(Makes.ERROR);
+            assertEquals("1105", end(client, booking("c2", 900)));
+            for (int i = 0; i < 64; i++) {
+                primary.script.add(Makes.FULL);
+            }
+            SQLException refused = assertThrows(SQLException.class,
+                    () -> client.createStatement().execute(booking("c3", 400)));
+            assertEquals(1226, refused.getErrorCode());
+            assertTrue(refused.getMessage().contains("retry after 50 ms"), refused.getMessage());
+            assertFalse(primary.runs.containsKey("c3"));
+            assertEquals("1064", end(client, "SELECT blob FROM rows"));
+        }
+    }
+
+    @Test
+    void a_booking_whose_connection_breaks_fails_and_ran_once() throws Exception {
+        primary.script.add(Makes.DROP);
+        try (World world = world(); Connection client = client(world); PreparedStatement write =
+                client.prepareStatement("INSERT INTO rows VALUES (?)" + comment("pickup-booking", "d1", 900))) {
+            write.setString(1, "k1");
+            assertEquals(1105, assertThrows(SQLException.class, write::execute).getErrorCode());
+            assertEquals(1, primary.runs.get("d1"));
+            assertEquals(1, primary.seen.size());
+        }
+    }
+
+    @Test
+    void a_client_of_both_protocols_sees_its_writes_though_the_replica_is_behind() throws Exception {
+        long stopped = System.currentTimeMillis() - 200;
+        replica.asOf = () -> stopped;
+        try (World world = world(); Connection mysql = client(world); Connection pg = world.pg()) {
+            try (ResultSet rows = pg.createStatement().executeQuery(booking("e1", 900))) {
+                assertTrue(rows.next());
+            }
+            // No read carries the commit: the pooler's store remembers it.
+            assertEquals("value", end(mysql, read("own-order-view", "e2", 900)));
+            assertEquals(1, primary.runs.get("e2"));
+            assertEquals("value", end(mysql, booking("e3", 900)));
+            try (ResultSet rows = pg.createStatement().executeQuery(read("own-order-view", "e4", 900))) {
+                assertTrue(rows.next());
+            }
+            assertEquals(1, primary.runs.get("e4"));
+        }
+    }
+
+    @Test
+    void reads_keep_their_bound_of_age() throws Exception {
+        long stopped = System.currentTimeMillis() - 5_000;
+        replica.asOf = () -> stopped;
+        try (World world = world(); Connection client = client(world)) {
+            // The replica's first answer tells how far behind it is; from then on it is sent no such read.
+            assertEquals("value", end(client, read("own-order-view", "f0", 900)));
+            assertEquals("value", end(client, read("bag-status", "f1", 900)));
+            assertEquals("value", end(client, read("bag-status", "f2", 900)));
+            assertFalse(replica.runs.containsKey("f1") || replica.runs.containsKey("f2"));
+        }
+    }
+
+    @Test
+    void the_same_work_ends_the_same_over_both_fronts() throws Exception {
+        List<String> ends = new ArrayList<>();
+        try (World world = world(); Connection mysql = client(world); Connection pg = world.pg()) {
+            for (Connection client : List.of(mysql, pg)) {
+                for (Makes makes : Makes.values()) {
+                    if (makes == Makes.MISS || makes == Makes.BEHIND) {
+                        continue;
+                    }
+                    // Misses would send the write round the members: one answer of the primary decides here.
+                    primary.script.clear();
+                    for (int i = 0; i < (makes == Makes.FULL ? 64 : 1); i++) {
+                        primary.script.add(makes);
+                    }
+                    String query = booking(makes + "-" + (client == mysql), 300);
+                    String end = client == mysql ? end(client, query) : pgEnd(client, query);
+                    ends.add(makes + " " + end.replace("53300", "refused").replace("1226", "refused")
+                            .replace("58000", "failed").replace("1105", "failed"));
+                    primary.script.clear();
+                    // A broken or silent connection ejects the primary for a moment: it must be back for the next.
+                    for (int i = 0; !"value".equals(client == mysql ? end(client, read("own-order-view", "w", 900))
+                            : pgEnd(client, read("own-order-view", "w", 900))); i++) {
+                        assertTrue(i < 50);
+                    }
+                }
+            }
+        }
+        assertEquals(List.of("SERVED value", "FULL refused", "ERROR failed", "HANG failed", "DROP failed"),
+                ends.subList(0, 5));
+        assertEquals(ends.subList(0, 5), ends.subList(5, 10));
+    }
+
+    private static String pgEnd(Connection client, String query) throws SQLException {
+        try (Statement statement = client.createStatement()) {
+            return value(statement, query);
+        } catch (SQLException e) {
+            return e.getSQLState();
+        }
+    }
+
+    @Test
+    void broken_packets_end_their_own_connection_only() throws Exception {
+        try (World world = world(); Connection client = client(world);
+                Socket broken = new Socket("127.0.0.1", world.daemon.mysqlAddress().getPort())) {
+            broken.setSoTimeout(10_000);
+            broken.getOutputStream().write(new byte[] {1, 0, 0, 1, 0});
+            byte[] all = broken.getInputStream().readAllBytes();
+            assertTrue(new String(all, java.nio.charset.StandardCharsets.ISO_8859_1).contains("08S01packet too short"));
+            assertEquals("value", end(client, read("bag-status", "g1", 900)));
+        }
+    }
+}
