--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -14,7 +14,7 @@
  * The core: knows no wire. Owns the router, the requests and the attempts, turns what happens on sockets into the
  * router's events and its actions into calls, and sees to it that each request gets exactly one final answer.
  */
-public final class Pooler {
+public class Pooler {
     /** Requests and attempts held at most; the bound on client connections keeps far below it. */
     private static final int MOST = 8192;
     /** After a request's time, how long the router may take to end it before the core does. */
