--- a/src/main/java/lupinvalve/mysql/Protocol.java
+++ b/src/main/java/lupinvalve/mysql/Protocol.java
@@ -9,11 +9,11 @@
 
 /** What both sides of MySQL's protocol share: numbers, OK and ERR packets, passwords. */
 final class Protocol {
-    static final int LONG_PASSWORD = 1, FOUND_ROWS = 2, CONNECT_WITH_DB = 8, PROTOCOL_41 = 0x200, TRANSACTIONS = 0x2000,
-            SECURE_CONNECTION = 0x8000, PLUGIN_AUTH = 0x80000, LENENC_AUTH = 0x200000, SESSION_TRACK = 0x800000,
+    static final int LONG_PASSWORD = 1, FOUND_ROWS = 2, CONNECT_WITH_DB = 8, PROTOCOL_41 = 0x200,
+            TRANSACTIONS = 0x2000, SECURE_CONNECTION = 0x8000, PLUGIN_AUTH = 0x80000, LENENC_AUTH = 0x200000, SESSION_TRACK = 0x800000,
             DEPRECATE_EOF = 0x1000000, QUERY_ATTRIBUTES = 0x8000000;
-    static final int COM_QUIT = 1, COM_INIT_DB = 2, COM_QUERY = 3, COM_PING = 14, COM_CHANGE_USER = 17, COM_PREPARE = 22,
-            COM_EXECUTE = 23, COM_LONG_DATA = 24, COM_CLOSE = 25, COM_RESET = 26, COM_RESET_CONNECTION = 31;
+    static final int COM_QUIT = 1, COM_INIT_DB = 2, COM_QUERY = 3, COM_PING = 14, COM_PREPARE = 22, COM_EXECUTE = 23,
+            COM_LONG_DATA = 24, COM_CLOSE = 25, COM_RESET = 26, COM_RESET_CONNECTION = 31;
     static final int STATUS_AUTOCOMMIT = 2, STATUS_MORE = 8, STATUS_STATE_CHANGED = 0x4000;
     /** Flag of an execute: the count of its parameters, query attributes among them, is told. */
     static final int COUNT_TOLD = 8;
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -64,6 +64,10 @@
 
     @Override
     public void opened(Link link) {
+        if (closing) {
+            link.drop();
+            return;
+        }
         if (clients.full()) {
             // Answered once it has spoken: closing on unread bytes would reset the connection before the answer.
             if (++extra > EXTRA_MOST) {
--- /dev/null
+++ b/src/test/java/lupinvalve/core/CoreTest.java
@@ -0,0 +1,58 @@
+package lupinvalve.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The tables and the statement, where a mistake would show only now and then on sockets. */
+class CoreTest {
+    @Test
+    void a_late_event_finds_nothing_once_its_slot_is_used_again() {
+        Slots<String> slots = new Slots<>(2);
+        long first = slots.put("first");
+        assertEquals("first", slots.free(first));
+        long second = slots.put("second");
+        assertNull(slots.get(first));
+        assertNull(slots.free(first));
+        assertEquals("second", slots.get(second));
+        slots.put("third");
+        assertTrue(slots.full());
+        assertThrows(IllegalStateException.class, () -> slots.put("fourth"));
+    }
+
+    @Test
+    void deadlines_come_in_order_and_not_after_they_are_dropped() {
+        Deadlines deadlines = new Deadlines();
+        List<String> ran = new ArrayList<>();
+        deadlines.at(20, () -> ran.add("late"));
+        deadlines.at(10, () -> ran.add("first"));
+        Deadlines.Deadline dropped = deadlines.at(10, () -> ran.add("dropped"));
+        deadlines.at(10, () -> ran.add("second"));
+        deadlines.drop(dropped);
+        assertEquals(10, deadlines.next());
+        for (Runnable due = deadlines.due(15); due != null; due = deadlines.due(15)) {
+            due.run();
+        }
+        assertEquals(List.of("first", "second"), ran);
+    }
+
+    @Test
+    void a_statement_keeps_its_bytes_but_for_the_wait() {
+        String text = "INSERT INTO rows VALUES ('it''s', '\\x00') /* d=1 */ RETURNING blob /* id=9,d=480 , c=x */";
+        Statement statement = new Statement(text.getBytes(StandardCharsets.UTF_8));
+        assertEquals("it''s", statement.key());
+        assertEquals("x", statement.field("c"));
+        assertEquals(text.replace("d=480", "d=12"),
+                new String(statement.bytes(12_900), StandardCharsets.UTF_8));
+        Statement bare = new Statement("SELECT '".getBytes(StandardCharsets.UTF_8));
+        assertNull(bare.key());
+        assertFalse(bare.bytes(5).length == 0);
+    }
+}
--- a/src/test/java/lupinvalve/mysql/MysqlPort.java
+++ b/src/test/java/lupinvalve/mysql/MysqlPort.java
@@ -94,7 +94,8 @@
                         int count = (int) packet.lenenc();
                         packet.lenenc();
                         if (count > 0) {
-                            Params.read(packet, count, true, null, List.of()).forEach(p -> fields.put(p.name(), p.text()));
+                            Params.read(packet, count, true, null, List.of())
+                                    .forEach(p -> fields.put(p.name(), p.text()));
                         }
                         String statement = new String(packet.rest(), UTF_8);
                         fields.putAll(DbNode.fields(statement));
--- a/src/test/java/lupinvalve/stories/World.java
+++ b/src/test/java/lupinvalve/stories/World.java
@@ -60,7 +60,8 @@
             }
         });
         Path file = Files.createTempFile("lupinvalve", ".json");
-        Files.writeString(file, Files.readString(Path.of("example/config.json")).replace("127.0.0.1:5432", "127.0.0.1:0")
+        Files.writeString(file, Files.readString(Path.of("example/config.json"))
+                .replace("127.0.0.1:5432", "127.0.0.1:0")
                 .replace("127.0.0.1:8500", "127.0.0.1:" + discovery.getLocalPort())
                 .replace("\"sockets\": 1024", "\"sockets\": " + sockets)
                 .replace("\"members\": []", "\"members\": [" + entries() + "]"));
