--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -31,8 +31,9 @@
     /** Share of a class's aim that a held read may spend, as aims are often shorter than HOLD. */
     private static final double HOLD_OF_AIM = 0.4;
     private static final long TICK = 10_000, IDLE_TICK = 100_000;
-    /** Kept back from a deadline so that the final answer is out in time. */
+    /** Kept back from a deadline so that the final answer is out in time; share for what was never sent. */
     private static final long MARGIN = 15_000;
+    private static final double UNTRIED = 0.49;
     /** Pace of shared probes for held reads, and of probes and write trials in a change of primary. */
     private static final long READ_PROBE_PACE = 60_000, CHANGE_PROBE_PACE = 150_000, SCOUT_PACE = 40_000;
     /** A replica of which nothing was heard for this long is probed, as far as the probe budget goes. */
@@ -107,10 +108,7 @@
         int count = settings.classes().size();
         work = new double[count];
         longWork = new boolean[count];
-        long shortest = Long.MAX_VALUE;
-        for (Routing.RequestClass c : settings.classes()) {
-            shortest = Math.min(shortest, c.aimMicros());
-        }
+        long shortest = settings.classes().stream().mapToLong(c -> c.aimMicros()).min().orElse(0);
         for (int i = 0; i < count; i++) {
             Routing.RequestClass c = settings.classes().get(i);
             order.add(i);
@@ -191,9 +189,7 @@
                 n.group.primary = n;
             }
         }
-        for (Node n : unnamed) {
-            setHealth(n, Routing.Health.GONE);
-        }
+        unnamed.forEach(n -> setHealth(n, Routing.Health.GONE));
         groups.values().forEach(this::dispatch);
     }
 
@@ -517,7 +513,10 @@
     private long giveUpAt(Pending r) {
         double worthless = r.kind.lateShare() < 0.5 && !r.asked.repeated()
                 ? r.arrived + r.kind.aimMicros() : Double.MAX_VALUE;
-        return (long) Math.min(worthless, r.expires - Math.max(MARGIN, work[r.cls()]));
+        // Guards against clients kept waiting for nothing: one told early has time to come back.
+        double last = r.reached ? r.expires - Math.max(MARGIN, work[r.cls()])
+                : r.arrived + UNTRIED * (r.expires - r.arrived);
+        return (long) Math.min(worthless, last);
     }
 
     // ---- choice ----
@@ -711,6 +710,7 @@
         if (o.ending() == Routing.Ending.SERVED && r.write()) {
             stamp(r, o.position());
         }
+        r.reached |= o.ending() != Routing.Ending.NOT_CONNECTED && o.ending() != Routing.Ending.NOT_SENT;
         if (!o.ending().neverRan && a.sentAt() < r.mayHaveRunSince) {
             r.mayHaveRunSince = a.sentAt();
             r.mayHaveRunAt = n;
--- a/src/main/java/lupinvalve/State.java
+++ b/src/main/java/lupinvalve/State.java
@@ -113,6 +113,8 @@
         Attempt out;
         Node last, mayHaveRunAt, erredAt;
         long mayHaveRunSince = Long.MAX_VALUE;
+        /** Whether an attempt has reached a member. */
+        boolean reached;
         boolean over;
 
         Pending(Routing.Request asked, Routing.RequestClass kind, Group group, long now, double lot) {
--- a/src/test/java/lupinvalve/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -232,6 +232,27 @@
         }
     }
 
+    @Test
+    void whatNeverWentOutIsRefusedBeforeHalfItsTimeAndWhatHasReachedAMemberIsHeldOn() {
+        start(FreshnessCheck.BOUNCE, TokenSource.REMEMBERED, Effect.UNSAFE);
+        list(ListForm.UPDATE, new Routing.Member("a", 1, 0, Health.GONE, false, 0),
+                new Routing.Member("b", 1, 0, Health.GONE, false, 0));
+        request("w1", WRITE, "s", 900 * MS);
+        assertEquals("c", sentTo("w1"));
+        // The one member left says that it is no primary, and then leaves too.
+        outcome("w1", 0, "c", Ending.MISSED, Routing.NO_POSITION, Role.REPLICA);
+        list(ListForm.UPDATE, new Routing.Member("c", 1, 0, Health.GONE, false, 0));
+        request("w2", WRITE, "s", 900 * MS);
+        pass(430 * MS);
+        assertEquals(0, refusals("w2"));
+        pass(20 * MS);
+        assertEquals(1, refusals("w2"));
+        assertEquals(0, refusals("w1"));
+        // Late bookings of this class are worth little: from its aim on this one is not worth holding either.
+        pass(70 * MS);
+        assertEquals(1, refusals("w1"));
+    }
+
     @Test
     void requestOfAnUnknownGroupOrWithNoTimeIsRefusedAtOnce() {
         start(FreshnessCheck.SILENT, TokenSource.REMEMBERED, Effect.UNSAFE);
