Start a cipher before serving, forget addresses of db nodes gone, say what is left

Seen in a run by hand with the toy server, psql and the example's operator file: the store's file, which holds the account, could be read by any user (StoreFile.write); it is made rw------- now. Seen in a review: the first RSA cipher of a JVM was made on the core thread while serving (MysqlBackend.sealed), and Pooler.addresses only ever grew.

--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -104,6 +104,9 @@
                     operator.dnsSd().service(), operator.dnsSd().pollMicros(), port == null ? 3306 : port,
                     config.site().zones());
         }
+        if (config.discovery() == null) {
+            throw new IllegalArgumentException("no discovery in the configuration and no dns_sd");
+        }
         return new HttpDirectory(net, pooler, Addresses.parse(config.discovery()),
                 new ListReader(config.site().zones(), port), config.known().revision());
     }
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -184,11 +184,21 @@
     /** News of the list. */
     public void listed(Directory.News news) {
         List<Routing.Member> members = new ArrayList<>();
+        if (news.form() == Routing.ListForm.FULL) {
+            // Each deploy brings new ids: those that have left must not pile up.
+            addresses.clear();
+        }
         for (Directory.Entry entry : news.entries()) {
             members.add(entry.member());
-            addresses.put(entry.member().node(), entry.addresses());
+            if (entry.member().health() == Routing.Health.GONE) {
+                addresses.remove(entry.member().node());
+            } else {
+                addresses.put(entry.member().node(), entry.addresses());
+            }
         }
-        if (news.form() != Routing.ListForm.UPDATE) {
+        if (news.form() == Routing.ListForm.UNAVAILABLE) {
+            Log.info("list: unavailable, the one held stays");
+        } else if (news.form() != Routing.ListForm.UPDATE) {
             Log.info("list: %s, %d db nodes", news.form(), members.size());
         }
         feed(new Routing.Members(news.form(), members));
--- a/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -32,6 +32,7 @@
     private static final long WANTED = Protocol.LONG_PASSWORD | Protocol.FOUND_ROWS | Protocol.PROTOCOL_41
             | Protocol.TRANSACTIONS | Protocol.SECURE_CONNECTION | Protocol.PLUGIN_AUTH | Protocol.SESSION_TRACK
             | Protocol.DEPRECATE_EOF | Protocol.QUERY_ATTRIBUTES;
+    private static final String OAEP = "RSA/ECB/OAEPWithSHA-1AndMGF1Padding";
     private static final byte[] PING = new Out().int1(Protocol.COM_PING).packet(0);
     private final String user, password, database;
 
@@ -40,6 +41,12 @@
         this.user = user;
         this.password = password;
         this.database = database;
+        try {
+            // The first cipher of a JVM takes a tenth of a second, which the core thread must not lose while it serves.
+            Cipher.getInstance(OAEP);
+        } catch (GeneralSecurityException e) {
+            Log.warn("no %s: only servers that have the account cached can be used", OAEP);
+        }
     }
 
     private enum At { GREETING, LOGIN, READY, PREPARING, DEFINITIONS, ANSWER, COLUMNS, ROWS }
@@ -194,7 +201,7 @@
     private byte[] sealed(byte[] pem, byte[] nonce) throws Framer.Malformed {
         try {
             String key = new String(pem, ISO_8859_1).replaceAll("-----[A-Z ]+-----", "");
-            Cipher cipher = Cipher.getInstance("RSA/ECB/OAEPWithSHA-1AndMGF1Padding");
+            Cipher cipher = Cipher.getInstance(OAEP);
             cipher.init(Cipher.ENCRYPT_MODE, KeyFactory.getInstance("RSA")
                     .generatePublic(new X509EncodedKeySpec(Base64.getMimeDecoder().decode(key))));
             return cipher.doFinal(Protocol.xor((password + "\0").getBytes(UTF_8), nonce));
--- a/src/main/java/lupinvalve/store/StoreFile.java
+++ b/src/main/java/lupinvalve/store/StoreFile.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -105,6 +106,11 @@
         crc.update(bytes.toByteArray());
         bytes.writeBytes((END + crc.getValue() + "}\n").getBytes(StandardCharsets.UTF_8));
         Path beside = file.resolveSibling("store.new");
+        Files.deleteIfExists(beside);
+        if (beside.getFileSystem().supportedFileAttributeViews().contains("posix")) {
+            // The operator's document holds passwords: no other user may read it, not even for a moment.
+            Files.createFile(beside, PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+        }
         Files.write(beside, bytes.toByteArray());
         try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.WRITE)) {
             channel.force(true);
--- a/src/test/java/lupinvalve/stories/ExampleFolderTest.java
+++ b/src/test/java/lupinvalve/stories/ExampleFolderTest.java
@@ -11,6 +11,7 @@
 import java.sql.Connection;
 import java.sql.DriverManager;
 import java.sql.SQLException;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import lupinvalve.cli.Daemon;
@@ -61,6 +62,30 @@
         }
     }
 
+    @Test
+    void told_to_stop_the_program_ends_with_0() throws Exception {
+        Path file = Files.createTempFile("example", ".json");
+        // Nothing answers at port 1: a pooler starts without its discovery, and stops without it.
+        Files.writeString(file, Files.readString(Path.of("example/config.json"))
+                .replace("127.0.0.1:5432", "127.0.0.1:0").replace("127.0.0.1:8500", "127.0.0.1:1"));
+        Process program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "lupinvalve.cli.Main", "serve", "--config", file.toString())
+                .redirectErrorStream(true).start();
+        try (BufferedReader said = new BufferedReader(new InputStreamReader(program.getInputStream()))) {
+            String line = said.readLine();
+            while (line != null && !line.contains("listens on")) {
+                line = said.readLine();
+            }
+            assertNotNull(line);
+            program.destroy();
+            assertTrue(program.waitFor(10, TimeUnit.SECONDS));
+            assertEquals(0, program.exitValue());
+        } finally {
+            program.destroyForcibly();
+            Files.delete(file);
+        }
+    }
+
     @Test
     void the_operators_files_can_be_read() throws Exception {
         OperatorConfig deployed = OperatorConfig.read(Files.readAllBytes(Path.of("deploy/operator.json")));
