--- a/src/test/java/lupinvalve/stories/DbNode.java
+++ b/src/test/java/lupinvalve/stories/DbNode.java
@@ -92,6 +92,8 @@
                 makes = Makes.MISS;
             } else if (fields.containsKey("after") && Long.parseLong(fields.get("after")) > asOf.getAsLong()) {
                 makes = Makes.BEHIND;
+            } else if ("bag-status".equals(fields.get("c")) && asOf.getAsLong() < System.currentTimeMillis() - 500) {
+                makes = Makes.BEHIND;
             }
         }
         if (makes == Makes.SERVED || makes == Makes.DROP || makes == Makes.ERROR || makes == Makes.HANG) {
