Close resting and silent client connections when room runs short

Ruled out: memory (43 of 128 MB) and CPU (0.31 s in the worst second). At fault: PgFront.opened and MysqlFront.opened turned newcomers away whenever the table was full, and nothing ever closed a connection that said nothing (PostgreSQL) or waited 10 s for a login (MySQL).

net.Spare keeps both fronts' connections by age: from 2 s of rest they may go, the oldest first, once three quarters of the table are taken; a connection must bring a whole command within 2.6 s. Link.finish no longer waits for ever for a peer that reads nothing.

--- a/src/main/java/lupinvalve/core/Slots.java
+++ b/src/main/java/lupinvalve/core/Slots.java
@@ -28,6 +28,11 @@
         return size >= most;
     }
 
+    /** Whether less than a quarter is free. */
+    public boolean crowded() {
+        return size > most * 3 / 4;
+    }
+
     public int size() {
         return size;
     }
--- a/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -12,13 +12,13 @@
 import java.util.Locale;
 import java.util.Map;
 import lupinvalve.Routing;
-import lupinvalve.core.Deadlines;
 import lupinvalve.core.Front;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Slots;
 import lupinvalve.core.Statement;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Link;
+import lupinvalve.net.Spare;
 
 /**
  * Speaks MySQL's protocol to clients, prepared statements included. The front owns the statements' numbers, so that a
@@ -28,7 +28,6 @@
     public static final String PROTOCOL = "mysql";
     private static final int PACKET_MOST = 1 << 20, STATEMENTS_MOST = 256, WAITING_MOST = 64;
     private static final int AHEAD_MOST = 1 << 20;
-    private static final long LOGIN = 10_000_000;
     private static final long OFFERED = Protocol.LONG_PASSWORD | Protocol.FOUND_ROWS | Protocol.CONNECT_WITH_DB
             | Protocol.PROTOCOL_41 | Protocol.TRANSACTIONS | Protocol.SECURE_CONNECTION | Protocol.PLUGIN_AUTH
             | Protocol.LENENC_AUTH | Protocol.SESSION_TRACK | Protocol.DEPRECATE_EOF | Protocol.QUERY_ATTRIBUTES;
@@ -38,6 +37,7 @@
     private final SecureRandom random = new SecureRandom();
     private final Slots<Client> clients;
     private final Map<Link, Client> byLink = new IdentityHashMap<>();
+    private final Spare<Client> spare;
     private boolean closing;
 
     private enum At { LOGIN, SWITCHED, READY }
@@ -66,7 +66,6 @@
         long capabilities, request = -1;
         int statements;
         boolean busy, binary;
-        Deadlines.Deadline login;
         final Map<Long, Prepared> prepared = new HashMap<>();
         final ArrayDeque<Command> waiting = new ArrayDeque<>();
 
@@ -84,6 +83,7 @@
         this.user = user;
         this.password = password;
         clients = new Slots<>(clientsMost);
+        spare = new Spare<>(pooler.loop(), this::end);
     }
 
     /** Changes the account; those logged in stay. */
@@ -100,6 +100,7 @@
 
     @Override
     public void opened(Link link) {
+        spare.makeRoom(clients);
         if (clients.full() || closing) {
             link.write(new Out().int1(0xFF).fixed(1040, 2).text("Too many connections").packet(0));
             link.finish();
@@ -108,12 +109,12 @@
         Client client = new Client(link);
         client.slot = clients.put(client);
         byLink.put(link, client);
+        spare.opened(client);
         random.nextBytes(client.nonce);
         for (int i = 0; i < 20; i++) {
             // Clients read it as text: no zero byte may end it early.
             client.nonce[i] = (byte) (client.nonce[i] & 63 | 64);
         }
-        client.login = pooler.loop().after(LOGIN, () -> end(client));
         byte[] first = java.util.Arrays.copyOf(client.nonce, 8);
         byte[] second = java.util.Arrays.copyOfRange(client.nonce, 8, 20);
         link.write(new Out().int1(10).zero("8.0.0-lupinvalve").fixed(client.slot, 4).raw(first).int1(0)
@@ -132,7 +133,7 @@
     private void forget(Client client) {
         byLink.remove(client.link);
         clients.free(client.slot);
-        pooler.loop().drop(client.login);
+        spare.gone(client);
         if (client.busy) {
             pooler.gone(client.request);
         }
@@ -170,6 +171,7 @@
                     client.waiting.add(new Command(packet, atMicros));
                 } else {
                     command(client, packet, atMicros);
+                    rest(client);
                 }
             } catch (Framer.Malformed e) {
                 malformed(link, e.getMessage());
@@ -219,7 +221,6 @@
             client.link.write(new Out().int1(1).int1(3).packet(next++));
         }
         client.at = At.READY;
-        pooler.loop().drop(client.login);
         client.link.write(Protocol.Ok.PLAIN.packet(0, client.capabilities, next));
     }
 
@@ -231,6 +232,7 @@
     // ---- commands ----
 
     private void command(Client client, byte[] packet, long atMicros) throws Framer.Malformed {
+        spare.busy(client);
         In in = new In(packet);
         switch (in.int1()) {
             case Protocol.COM_QUIT -> end(client);
@@ -457,11 +459,18 @@
                 Command command = client.waiting.poll();
                 command(client, command.packet(), command.atMicros());
             }
+            rest(client);
         } catch (Framer.Malformed e) {
             malformed(client.link, e.getMessage());
         }
     }
 
+    private void rest(Client client) {
+        if (!client.busy && clients.get(client.slot) == client) {
+            spare.rests(client);
+        }
+    }
+
     /** Closes connections as soon as nothing is due on them. */
     public void close() {
         closing = true;
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -30,6 +30,9 @@
     /** What a peer may leave unread before its connection is closed. */
     private static final long UNREAD_MOST = 1 << 20;
 
+    /** How long a peer may take to read the last words. */
+    private static final long FLUSH = 1_000_000;
+
     private final Loop loop;
     private final Framer framer;
     private final Events events;
@@ -151,6 +154,8 @@
         over = true;
         if (session != null) {
             session.closeOnFlush();
+            // A peer that reads nothing would hold its descriptor for good.
+            loop.after(FLUSH, session::closeNow);
         }
     }
 
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -10,6 +10,7 @@
 import lupinvalve.core.Statement;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Link;
+import lupinvalve.net.Spare;
 
 /** Speaks PostgreSQL's protocol to clients: simple queries, pipelined or not, answered in order. Core thread only. */
 public final class PgFront implements Front, Link.Events {
@@ -24,6 +25,7 @@
     private final Slots<Client> clients;
     private final Slots<Reply> replies;
     private final java.util.IdentityHashMap<Link, Client> byLink = new java.util.IdentityHashMap<>();
+    private final Spare<Client> spare;
     private boolean closing;
     private int extra;
 
@@ -53,6 +55,7 @@
     public PgFront(Pooler pooler, int clientsMost) {
         this.pooler = pooler;
         clients = new Slots<>(clientsMost);
+        spare = new Spare<>(pooler.loop(), this::end);
         replies = new Slots<>(clientsMost * 8);
     }
 
@@ -68,6 +71,7 @@
             link.drop();
             return;
         }
+        spare.makeRoom(clients);
         if (clients.full()) {
             // Answered once it has spoken: closing on unread bytes would reset the connection before the answer.
             if (++extra > EXTRA_MOST) {
@@ -84,6 +88,7 @@
         Client client = new Client(link);
         client.slot = clients.put(client);
         byLink.put(link, client);
+        spare.opened(client);
     }
 
     @Override
@@ -94,8 +99,15 @@
         }
     }
 
+    /** Ends a connection once what was written to it is out. */
+    private void end(Client client) {
+        drop(client);
+        client.link.finish();
+    }
+
     private void drop(Client client) {
         byLink.remove(client.link);
+        spare.gone(client);
         clients.free(client.slot);
         for (Reply reply : client.due) {
             if (reply.bytes == null) {
@@ -140,8 +152,7 @@
         if (code == PgFramer.SSL_REQUEST || code == PgFramer.GSS_REQUEST) {
             client.link.write(PgMessages.NO);
         } else if (code == PgFramer.CANCEL_REQUEST) {
-            drop(client);
-            client.link.finish();
+            end(client);
         } else if (code >> 16 != 3) {
             client.last = true;
             answer(client, PgMessages.error("FATAL", "0A000", "protocol version 3 only", null));
@@ -155,6 +166,7 @@
     }
 
     private void command(Client client, byte[] message, long atMicros) {
+        spare.busy(client);
         switch (message[0]) {
             case 'Q' -> query(client, message, atMicros);
             case 'X' -> {
@@ -258,9 +270,13 @@
         while (!client.due.isEmpty() && client.due.peek().bytes != null) {
             client.link.write(client.due.poll().bytes);
         }
-        if (client.due.isEmpty() && (client.last || closing) && clients.get(client.slot) == client) {
-            drop(client);
-            client.link.finish();
+        if (!client.due.isEmpty() || clients.get(client.slot) != client) {
+            return;
+        }
+        if (client.last || closing) {
+            end(client);
+        } else {
+            spare.rests(client);
         }
     }
 
--- a/src/test/java/lupinvalve/mysql/MysqlTest.java
+++ b/src/test/java/lupinvalve/mysql/MysqlTest.java
@@ -38,7 +38,11 @@
     }
 
     private World world() throws Exception {
-        return new World(new OperatorConfig(1, new OperatorConfig.Mysql("127.0.0.1:0", "portal", "towel", 0,
+        return world(1024);
+    }
+
+    private World world(int sockets) throws Exception {
+        return new World(sockets, new OperatorConfig(1, new OperatorConfig.Mysql("127.0.0.1:0", "portal", "towel", 0,
                 MysqlPort.USER, MysqlPort.PASSWORD, ""),
                 new OperatorConfig.Store("n0", folder, "127.0.0.1:0", List.of(), ""), null), primary, replica);
     }
@@ -252,6 +256,22 @@
         }
     }
 
+    @Test
+    void silent_connections_give_way_to_clients() throws Exception {
+        try (World world = world(64)) {
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                silent.add(new Socket("127.0.0.1", world.daemon.mysqlAddress().getPort()));
+            }
+            try (Connection client = client(world)) {
+                assertEquals("value", end(client, read("bag-status", "s1", 900)));
+            }
+            for (Socket socket : silent) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     void broken_packets_end_their_own_connection_only() throws Exception {
         try (World world = world(); Connection client = client(world);
--- a/src/test/java/lupinvalve/stories/PlatformTest.java
+++ b/src/test/java/lupinvalve/stories/PlatformTest.java
@@ -32,7 +32,7 @@
                 + ",c=pickup-booking,t=acme,d=" + wait + ",cluster=1 */";
     }
 
-    private static World calm(DbNode... nodes) throws Exception {
+    static World calm(DbNode... nodes) throws Exception {
         return new World(OperatorConfig.NONE, nodes);
     }
 
@@ -47,7 +47,7 @@
     }
 
     /** Reads messages until so many of a type have come; gives their types and, for errors, the code. */
-    private static List<String> messages(Socket socket, char last, int times) throws IOException {
+    static List<String> messages(Socket socket, char last, int times) throws IOException {
         DataInputStream in = new DataInputStream(socket.getInputStream());
         List<String> got = new ArrayList<>();
         int left = times;
@@ -175,7 +175,9 @@
         try (World world = new World(64, OperatorConfig.NONE, new DbNode("s-1", true))) {
             List<Socket> open = new ArrayList<>();
             for (int i = 0; i < 35; i++) {
-                open.add(world.raw());
+                // Each has a request open, so none can be closed to make room.
+                world.nodes.get(0).script.add(DbNode.Makes.HANG);
+                open.add(world.raw(booking("p" + i, 2000)));
                 messages(open.get(i), 'Z', 1);
             }
             try (Socket extra = world.raw()) {
--- a/src/test/java/lupinvalve/stories/World.java
+++ b/src/test/java/lupinvalve/stories/World.java
@@ -43,7 +43,7 @@
         this(1024, operator, nodes);
     }
 
-    World(int sockets, OperatorConfig operator, DbNode... nodes) throws Exception {
+    public World(int sockets, OperatorConfig operator, DbNode... nodes) throws Exception {
         this.nodes = List.of(nodes);
         thread(() -> {
             while (true) {
