Read the configuration anew on SIGHUP and move to the new discovery

At fault: cli.Serve, which heard no SIGHUP; HttpDirectory, whose address was final.

cli.Reload hears the signal, reads and checks both files on the signal's thread and keeps the old configuration where one can't be used. HttpDirectory.move dials the new address while the watch at the old one stands; that one is let go when the new one has answered, and its end by itself is no failure while a new one is under way. DNS-SD moves likewise. sun.misc.Signal is reached by reflection, since javac's warning of it can't be turned off under -Werror.

--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -39,6 +39,9 @@
     private final Net net = new Net(loop);
     private final Pooler pooler;
     private final PgFront front;
+    // One of them is the directory.
+    private HttpDirectory http;
+    private DnsDirectory dns;
     private Net.Listener listener;
     // What an operator may turn on.
     private OperatorConfig operator;
@@ -100,15 +103,45 @@
     private Directory directory() {
         Integer port = operator.mysql() == null ? null : operator.mysql().nodePort();
         if (operator.dnsSd() != null) {
-            return new DnsDirectory(pooler, Addresses.parse(operator.dnsSd().resolver()),
+            dns = new DnsDirectory(pooler, Addresses.parse(operator.dnsSd().resolver()),
                     operator.dnsSd().service(), operator.dnsSd().pollMicros(), port == null ? 3306 : port,
                     config.site().zones());
+            return dns;
         }
         if (config.discovery() == null) {
             throw new IllegalArgumentException("no discovery in the configuration and no dns_sd");
         }
-        return new HttpDirectory(net, pooler, Addresses.parse(config.discovery()),
+        http = new HttpDirectory(net, pooler, Addresses.parse(config.discovery()),
                 new ListReader(config.site().zones(), port), config.known().revision());
+        return http;
+    }
+
+    /**
+     * Takes over a file read anew while requests go on: where discovery is. What the tables and the module were built
+     * from holds from the next start. Both files have been checked by then; from any thread.
+     *
+     * @throws IllegalArgumentException where an address in them is none, and nothing is taken over
+     */
+    public void reconfigure(NodeConfig next, OperatorConfig nextOperator) {
+        OperatorConfig.DnsSd place = nextOperator.dnsSd();
+        InetSocketAddress at = http != null && next.discovery() != null ? Addresses.parse(next.discovery()) : null;
+        InetSocketAddress resolver = dns != null && place != null ? Addresses.parse(place.resolver()) : null;
+        if (!next.site().equals(config.site()) || !next.listen().equals(config.listen())
+                || next.sockets() != config.sockets() || next.memoryMb() != config.memoryMb()) {
+            Log.warn("configuration: settings, limits and listen hold from the next start");
+        }
+        loop.post(() -> {
+            if (at != null) {
+                Log.info("configuration: discovery is at %s", next.discovery());
+                http.move(at);
+            }
+            if (resolver != null) {
+                dns.move(resolver, place.service(), place.pollMicros());
+            }
+            if (mysql != null && nextOperator.mysql() != null && file == null) {
+                mysql.account(nextOperator.mysql().user(), nextOperator.mysql().password());
+            }
+        });
     }
 
     /** Starts serving; returns once the port is open. */
@@ -125,7 +158,7 @@
             Log.info("%s speaks MySQL on %s", config.name(), mysqlListener.address());
         }
         listener = net.listen(Addresses.parse(config.listen()), front::framer, front);
-        Log.info("%s listens on %s", config.name(), config.listen());
+        Log.info("%s listens on %s:%d", config.name(), address().getHostString(), address().getPort());
     }
 
     public InetSocketAddress address() {
--- a/src/main/java/lupinvalve/cli/Serve.java
+++ b/src/main/java/lupinvalve/cli/Serve.java
@@ -15,6 +15,7 @@
         if (debug) {
             Log.least(Log.Level.DEBUG);
         }
+        Reload reload = new Reload(this);
         OperatorConfig operator = operator();
         Daemon daemon = new Daemon(node(operator), operator);
         CountDownLatch stopped = new CountDownLatch(1);
@@ -31,6 +32,7 @@
             Runtime.getRuntime().halt(0);
         }, "drain"));
         daemon.start();
+        reload.serves(daemon);
         stopped.await();
         return 0;
     }
--- a/src/main/java/lupinvalve/discovery/DnsDirectory.java
+++ b/src/main/java/lupinvalve/discovery/DnsDirectory.java
@@ -38,9 +38,9 @@
 public final class DnsDirectory implements Directory {
     private final Pooler pooler;
     private final Loop loop;
-    private final InetSocketAddress resolver;
-    private final String service;
-    private final long pollMicros;
+    private volatile InetSocketAddress resolver;
+    private volatile String service;
+    private long pollMicros;
     private final int mysqlPort;
     private final Map<String, Integer> zones = new HashMap<>();
     private final ExecutorService asker = Executors.newSingleThreadExecutor(work -> {
@@ -64,6 +64,13 @@
         loop = pooler.loop();
     }
 
+    /** Asks elsewhere, or for another service, from the next look-up on. */
+    public void move(InetSocketAddress newResolver, String newService, long newPollMicros) {
+        resolver = newResolver;
+        service = newService;
+        pollMicros = newPollMicros;
+    }
+
     @Override
     public void subscribe(boolean active) {
         subscription++;
--- a/src/main/java/lupinvalve/discovery/HttpDirectory.java
+++ b/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -27,10 +27,12 @@
     private final Net net;
     private final Pooler pooler;
     private final Loop loop;
-    private final InetSocketAddress address;
     private final ListReader reader;
+    private InetSocketAddress address;
     private long revision;
     private Call watch;
+    /** A watch at the address before, let go once its successor has answered. */
+    private Call leaving;
 
     public HttpDirectory(Net net, Pooler pooler, InetSocketAddress address, ListReader reader, long revision) {
         this.net = net;
@@ -43,15 +45,39 @@
 
     @Override
     public void subscribe(boolean active) {
-        if (watch != null) {
-            watch.end();
-            watch = null;
-        }
-        if (active) {
+        watch = let(watch);
+        if (!active) {
+            leaving = let(leaving);
+        } else {
             watch = new Call("/api/targets?follow=1&since=" + revision, true);
         }
     }
 
+    private static Call let(Call call) {
+        if (call != null) {
+            call.end();
+        }
+        return null;
+    }
+
+    /**
+     * Discovery has another address from now on. Guards against a gap in the news: the watch at the old address is
+     * kept until one at the new address has answered, or until it ends by itself.
+     */
+    public void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        if (watch != null) {
+            if (leaving == null) {
+                leaving = watch;
+                watch = null;
+            }
+            subscribe(true);
+        }
+    }
+
     @Override
     public void fetch() {
         new Call("/api/targets", false);
@@ -103,7 +129,12 @@
             }
             Log.info("discovery: %s ended", watching ? "watch" : "call");
             end();
-            if (watch == this) {
+            if (leaving == this) {
+                leaving = null;
+                if (watch != null) {
+                    return;
+                }
+            } else if (watch == this) {
                 watch = null;
             }
             pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
@@ -159,6 +190,9 @@
                 head(new String(all, 0, end, ISO_8859_1));
                 body = Arrays.copyOfRange(all, end + 4, all.length);
                 bodied = true;
+                if (watch == this) {
+                    leaving = let(leaving);
+                }
             }
             if (watching) {
                 loop.drop(patience);
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -5,13 +5,23 @@
 import static lupinvalve.stories.PlatformTest.messages;
 import static lupinvalve.stories.PlatformTest.read;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.sql.Connection;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import lupinvalve.config.OperatorConfig;
 import org.junit.jupiter.api.Test;
 
@@ -59,4 +69,60 @@
             assertTrue(System.nanoTime() - start < 3_000_000_000L);
         }
     }
+
+    @Test
+    void a_hang_up_brings_the_new_discovery_and_a_bad_file_changes_nothing() throws Exception {
+        Path file = Files.createTempFile("lupinvalve", ".json");
+        try (World world = calm(new DbNode("s-1", true), new DbNode("s-2", false));
+                ServerSocket first = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                ServerSocket second = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Files.writeString(file, world.config(first, 1024));
+            Process served = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "lupinvalve.cli.Main", "serve", "--config",
+                    file.toString()).redirectErrorStream(true).start();
+            try (BufferedReader log = served.inputReader()) {
+                Matcher port = Pattern.compile("listens on 127.0.0.1:(\\d+)").matcher("");
+                port.reset(until(log, "listens on"));
+                assertTrue(port.find());
+                Socket watch = first.accept();
+                AtomicInteger watching = new AtomicInteger();
+                World.thread(() -> world.answer(watch, watching));
+                World.await("watching", () -> watching.get() == 1);
+                Files.writeString(file, "{\"discovery\":");
+                hangUp(served);
+                until(log, "the old one stays");
+                Files.writeString(file, world.config(second, 1024));
+                hangUp(served);
+                until(log, "discovery is at");
+                Socket next = second.accept();
+                // The new one has not answered yet, so the old watch still stands.
+                watch.setSoTimeout(100);
+                assertThrows(SocketTimeoutException.class, () -> watch.getInputStream().read());
+                World.thread(() -> world.answer(next, new AtomicInteger()));
+                watch.setSoTimeout(10_000);
+                assertEquals(-1, watch.getInputStream().read());
+                try (Connection client = World.pg(Integer.parseInt(port.group(1)))) {
+                    assertEquals("value", end(client, read("u1", 900)));
+                }
+                served.destroy();
+                assertEquals(0, served.waitFor());
+            } finally {
+                served.destroyForcibly();
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static String until(BufferedReader log, String words) throws IOException {
+        String line = log.readLine();
+        while (!line.contains(words)) {
+            line = log.readLine();
+        }
+        return line;
+    }
 }
--- a/src/test/java/lupinvalve/stories/World.java
+++ b/src/test/java/lupinvalve/stories/World.java
@@ -35,7 +35,7 @@
     public final Daemon daemon;
     final AtomicInteger watches = new AtomicInteger();
     volatile boolean beats = true;
-    private final ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    final ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final List<OutputStream> watching = new CopyOnWriteArrayList<>();
     private final AtomicInteger revision = new AtomicInteger(1);
 
@@ -48,7 +48,7 @@
         thread(() -> {
             while (true) {
                 Socket socket = discovery.accept();
-                thread(() -> answer(socket));
+                thread(() -> answer(socket, watches));
             }
         });
         thread(() -> {
@@ -60,16 +60,20 @@
             }
         });
         Path file = Files.createTempFile("lupinvalve", ".json");
-        Files.writeString(file, Files.readString(Path.of("example/config.json"))
-                .replace("127.0.0.1:5432", "127.0.0.1:0")
-                .replace("127.0.0.1:8500", "127.0.0.1:" + discovery.getLocalPort())
-                .replace("\"sockets\": 1024", "\"sockets\": " + sockets)
-                .replace("\"members\": []", "\"members\": [" + entries() + "]"));
+        Files.writeString(file, config(discovery, sockets));
         daemon = new Daemon(NodeConfig.read(file, null), operator);
         Files.delete(file);
         daemon.start();
     }
 
+    /** The platform's file, with discovery at a port. */
+    String config(ServerSocket at, int sockets) throws IOException {
+        return Files.readString(Path.of("example/config.json")).replace("127.0.0.1:5432", "127.0.0.1:0")
+                .replace("127.0.0.1:8500", "127.0.0.1:" + at.getLocalPort())
+                .replace("\"sockets\": 1024", "\"sockets\": " + sockets)
+                .replace("\"members\": []", "\"members\": [" + entries() + "]");
+    }
+
     /** Code that may fail when its socket closes under it. */
     public interface Work {
         void run() throws Exception;
@@ -103,7 +107,8 @@
         return nodes.stream().map(DbNode::entry).collect(Collectors.joining(","));
     }
 
-    private void answer(Socket socket) throws IOException {
+    /** Answers as discovery; counts the watch. */
+    void answer(Socket socket, AtomicInteger count) throws IOException {
         InputStream in = socket.getInputStream();
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
@@ -111,7 +116,7 @@
         }
         OutputStream out = socket.getOutputStream();
         out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(UTF_8));
-        watches.incrementAndGet();
+        count.incrementAndGet();
         watching.add(out);
         push(out, "{\"revision\":" + revision.get() + ",\"complete\":true,\"members\":[" + entries() + "]}");
     }
@@ -143,12 +148,16 @@
 
     /** A client of PostgreSQL's own driver. */
     public Connection pg() throws SQLException {
+        return pg(daemon.address().getPort());
+    }
+
+    static Connection pg(int port) throws SQLException {
         Properties p = new Properties();
         p.setProperty("user", "api");
         p.setProperty("preferQueryMode", "simple");
         p.setProperty("sslmode", "disable");
         p.setProperty("assumeMinServerVersion", "9.0");
-        return DriverManager.getConnection("jdbc:postgresql://127.0.0.1:" + daemon.address().getPort() + "/ledger", p);
+        return DriverManager.getConnection("jdbc:postgresql://127.0.0.1:" + port + "/ledger", p);
     }
 
     /** A client of MySQL's own driver. */
