Check db nodes' answers whole, drop connections that say more, forgive one break

A probe of the answers logged shows what comes: noise, rows whose inner length does not match, lengths of 2, -16 and 3 GB, and second copies directly behind good answers. At fault: PgBackend.message took any D and any order of messages and PgFramer waited for whatever length was told; Pool.done gave a connection back while bytes behind the answer were still in the same read, so that they were taken for the next request's answer; Router.judge ejected a member for each connection that broke.

Now types and lengths are checked as soon as they are there, each message's inner lengths and the order T, D, C, Z as it comes; what does not fit ends as BROKEN and closes. A connection with bytes behind its answer, or that speaks while idle or before the request is out, is closed, and an answer already whole stays. Positions that can't be (signs, exponents, more than 1 s ahead) are ignored. MySQL's back end checks sequence numbers, column definitions, rows, OK and ERR packets likewise. The module blames a member for a break only if it has not answered since another one.

--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -316,6 +316,7 @@
     private void answered(Node n) {
         n.answeredAt = now;
         n.silent = 0;
+        n.broken = 0;
         n.probeFails = Math.min(n.probeFails, PROBES_PER_TRIAL);
         if (n.brokenSince != Long.MIN_VALUE) {
             if (now - n.brokenSince > RESTART_LEAST) {
@@ -779,6 +780,11 @@
                 }
             }
             case NOT_CONNECTED, BROKEN -> {
+                // Guards members that live: one connection that breaks, or one spoilt answer, is no sign of a
+                // death. That breaks all connections at once and refuses new ones.
+                if (o.ending() == Routing.Ending.BROKEN && n.broken++ == 0) {
+                    break;
+                }
                 n.connected = false;
                 n.brokenSince = n.brokenSince == Long.MIN_VALUE ? now : n.brokenSince;
                 n.probeFails = 0;
--- a/src/main/java/lupinvalve/State.java
+++ b/src/main/java/lupinvalve/State.java
@@ -60,9 +60,10 @@
         final Gauge slow, load;
         double limit;
         long answeredAt = Long.MIN_VALUE / 2, fullUntil = Long.MIN_VALUE;
-        // Health: error share, silent time-outs, ejections, whether a trial is due, first broken connection.
+        // Health: error share, silent time-outs, connections broken since it last answered, ejections, whether a trial
+        // is due, when connections began to fail.
         double errors;
-        int silent, strikes, probeFails;
+        int silent, broken, strikes, probeFails;
         long ejectedUntil = Long.MIN_VALUE, brokenSince = Long.MIN_VALUE;
         boolean onTrial;
         // Warm-up: when it began, and the work earned and spent since.
--- /dev/null
+++ b/src/main/java/lupinvalve/core/Positions.java
@@ -0,0 +1,29 @@
+package lupinvalve.core;
+
+import java.math.BigDecimal;
+import java.util.regex.Pattern;
+import lupinvalve.Routing;
+
+/** Positions of the replication log as db nodes word them: Unix time in some unit. */
+public final class Positions {
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,12})?");
+    /** A commit is rounded up, and clocks agree; what lies further ahead is no position. */
+    private static final long AHEAD = 1_000_000;
+
+    private Positions() {}
+
+    /**
+     * Reads a position. Guards against figures that can't be one: a position never goes back, so a spoilt one that lies
+     * in the future would make its db node look fresh for good.
+     *
+     * @param digits how many decimal places the unit lies before microseconds
+     * @return microseconds, or {@link Routing#NO_POSITION}
+     */
+    public static long read(String text, int digits, long now) {
+        if (!NUMBER.matcher(text).matches()) {
+            return Routing.NO_POSITION;
+        }
+        long micros = new BigDecimal(text).movePointRight(digits).longValue();
+        return micros <= 0 || micros > now + AHEAD ? Routing.NO_POSITION : micros;
+    }
+}
--- a/src/main/java/lupinvalve/mysql/In.java
+++ b/src/main/java/lupinvalve/mysql/In.java
@@ -52,6 +52,13 @@
         return value;
     }
 
+    /** Whether a NULL of a text row stands here, and steps over it. */
+    boolean absent() {
+        boolean absent = left() > 0 && (bytes[at] & 255) == 0xFB;
+        at += absent ? 1 : 0;
+        return absent;
+    }
+
     byte[] rest() throws Framer.Malformed {
         return raw(left());
     }
--- a/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -3,7 +3,6 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.math.BigDecimal;
 import java.security.GeneralSecurityException;
 import java.security.KeyFactory;
 import java.security.spec.X509EncodedKeySpec;
@@ -18,6 +17,7 @@
 import lupinvalve.Routing;
 import lupinvalve.Routing.Ending;
 import lupinvalve.core.Pooler;
+import lupinvalve.core.Positions;
 import lupinvalve.log.Log;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Net;
@@ -28,12 +28,11 @@
  * nothing, so until the execute is written the request has not run.
  */
 public final class MysqlBackend extends Pool {
-    private static final int PACKET_MOST = 4 << 20, STATEMENTS_MOST = 64;
+    private static final int PACKET_MOST = 4 << 20, ANSWER_MOST = 4 << 20, STATEMENTS_MOST = 64, COLUMNS_MOST = 4096;
     private static final long WANTED = Protocol.LONG_PASSWORD | Protocol.FOUND_ROWS | Protocol.PROTOCOL_41
             | Protocol.TRANSACTIONS | Protocol.SECURE_CONNECTION | Protocol.PLUGIN_AUTH | Protocol.SESSION_TRACK
             | Protocol.DEPRECATE_EOF | Protocol.QUERY_ATTRIBUTES;
     private static final String OAEP = "RSA/ECB/OAEPWithSHA-1AndMGF1Padding";
-    private static final byte[] PING = new Out().int1(Protocol.COM_PING).packet(0);
     private final String user, password, database;
 
     public MysqlBackend(Net net, Pooler pooler, Bounds bounds, String user, String password, String database) {
@@ -59,7 +58,8 @@
         private boolean keyAsked;
         /** Statements prepared on this connection, by text; the one used longest ago comes first. */
         private final Map<String, Long> prepared = new LinkedHashMap<>(16, 0.75f, true);
-        private int definitions, columns;
+        private int definitions, columns, size, sequence;
+        private int[] types = new int[0];
         private Ending error;
         private List<byte[]> packets = new ArrayList<>();
 
@@ -96,9 +96,11 @@
     protected void message(Conn conn, byte[] packet) {
         MysqlConn c = (MysqlConn) conn;
         try {
-            if (packet.length == 4) {
-                throw new Framer.Malformed("empty packet");
+            c.size += packet.length;
+            if (packet.length == 4 || (packet[3] & 255) != (c.sequence & 255) || c.size > ANSWER_MOST) {
+                throw new Framer.Malformed("packet out of order, empty or past the bound of an answer");
             }
+            c.sequence++;
             switch (c.at) {
                 case GREETING -> greeting(c, packet);
                 case LOGIN -> login(c, packet);
@@ -119,9 +121,16 @@
     /** What comes makes no sense: nothing more can be read from this connection. */
     private void fault(MysqlConn c, String why) {
         Log.warn("db node: %s", why);
+        c.error = null;
         broken(c);
     }
 
+    /** Writes a packet; the next to come has the number behind its own. */
+    private static void say(MysqlConn c, Out packet, int sequence) {
+        c.sequence = sequence + 1;
+        c.write(packet.packet(sequence));
+    }
+
     // ---- login ----
 
     private void greeting(MysqlConn c, byte[] packet) throws Framer.Malformed {
@@ -158,7 +167,7 @@
             out.zero(database);
         }
         c.at = At.LOGIN;
-        c.write(out.zero(c.plugin).packet(packet[3] + 1));
+        say(c, out.zero(c.plugin), packet[3] + 1);
     }
 
     private void login(MysqlConn c, byte[] packet) throws Framer.Malformed {
@@ -175,7 +184,7 @@
                 if (proof == null) {
                     throw new Framer.Malformed("login method " + c.plugin);
                 }
-                c.write(new Out().raw(proof).packet(packet[3] + 1));
+                say(c, new Out().raw(proof), packet[3] + 1);
             }
             case 1 -> more(c, in, packet[3] + 1);
             case 0xFF -> {
@@ -191,10 +200,10 @@
         byte[] data = in.rest();
         if (c.keyAsked) {
             c.keyAsked = false;
-            c.write(new Out().raw(sealed(data, c.nonce)).packet(sequence));
+            say(c, new Out().raw(sealed(data, c.nonce)), sequence);
         } else if (data.length == 1 && data[0] == 4) {
             c.keyAsked = true;
-            c.write(new Out().int1(2).packet(sequence));
+            say(c, new Out().int1(2), sequence);
         }
     }
 
@@ -216,11 +225,12 @@
     protected void start(Conn conn) {
         MysqlConn c = (MysqlConn) conn;
         c.error = null;
+        c.size = 0;
         c.packets = new ArrayList<>();
         if (c.job().probe()) {
             leaving(c);
             c.at = At.ANSWER;
-            c.write(PING);
+            say(c, new Out().int1(Protocol.COM_PING), 0);
             return;
         }
         MysqlRequest request = (MysqlRequest) c.job().statement;
@@ -234,12 +244,12 @@
                     Params.write(out, timed(c, request.params()), true);
                 }
             }
-            c.write(out.raw(request.statement().bytes(c.job().left(loop.now()))).packet(0));
+            say(c, out.raw(request.statement().bytes(c.job().left(loop.now()))), 0);
         } else if (c.prepared.containsKey(key(request))) {
             execute(c);
         } else {
             c.at = At.PREPARING;
-            c.write(new Out().int1(Protocol.COM_PREPARE).raw(request.text()).packet(0));
+            say(c, new Out().int1(Protocol.COM_PREPARE).raw(request.text()), 0);
         }
     }
 
@@ -301,7 +311,7 @@
         }
         leaving(c);
         c.at = At.ANSWER;
-        c.write(out.packet(0));
+        say(c, out, 0);
     }
 
     /** Bounds what a connection holds prepared at the db node. */
@@ -319,20 +329,66 @@
     private void answer(MysqlConn c, byte[] packet) throws Framer.Malformed {
         int first = packet[4] & 255;
         if (first == 0xFF) {
+            if (packet.length < 13 || packet[7] != '#') {
+                throw new Framer.Malformed("ERR packet's length");
+            }
             c.at = At.READY;
             done(c, true, ending(packet), null, Routing.NO_POSITION, role(packet));
         } else if (c.at == At.ANSWER && first == 0 || c.at == At.ROWS && first == 0xFE) {
             end(c, Protocol.Ok.read(new In(packet)));
         } else if (c.at == At.ANSWER) {
-            c.columns = (int) new In(packet).lenenc();
+            long columns = new In(packet).lenenc();
+            if (columns > COLUMNS_MOST) {
+                throw new Framer.Malformed("columns " + columns);
+            }
+            c.columns = (int) columns;
+            c.types = new int[c.columns];
             c.definitions = c.columns;
             c.packets.add(packet);
             c.at = At.COLUMNS;
-        } else {
+        } else if (c.at == At.COLUMNS) {
             c.packets.add(packet);
-            if (c.at == At.COLUMNS && --c.definitions == 0) {
+            c.types[c.columns - c.definitions] = type(new In(packet));
+            if (--c.definitions == 0) {
                 c.at = At.ROWS;
             }
+        } else {
+            sound(c, new In(packet));
+            c.packets.add(packet);
+        }
+    }
+
+    /** The type that a column's definition tells. */
+    private static int type(In in) throws Framer.Malformed {
+        for (int name = 0; name < 6; name++) {
+            in.counted();
+        }
+        if (in.lenenc() != 12 || in.left() != 12) {
+            throw new Framer.Malformed("column's definition");
+        }
+        in.raw(6);
+        return in.int1();
+    }
+
+    /** Guards against rows whose lengths don't agree: a client would read something that no db node said. */
+    private static void sound(MysqlConn c, In in) throws Framer.Malformed {
+        boolean prepared = ((MysqlRequest) c.job().statement).prepared();
+        byte[] nulls = new byte[0];
+        if (prepared) {
+            if (in.int1() != 0) {
+                throw new Framer.Malformed("row's head");
+            }
+            nulls = in.raw((c.columns + 9) / 8);
+        }
+        for (int i = 0; i < c.columns; i++) {
+            if (prepared && (nulls[(i + 2) / 8] >> (i + 2) % 8 & 1) == 0) {
+                Params.value(in, c.types[i]);
+            } else if (!prepared && !in.absent()) {
+                in.counted();
+            }
+        }
+        if (in.left() > 0) {
+            throw new Framer.Malformed("row's length");
         }
     }
 
@@ -343,14 +399,11 @@
         String asOf = ok.tracked(Protocol.AS_OF);
         String rank = ok.tracked(Protocol.RANK);
         if (asOf != null) {
-            try {
-                position = new BigDecimal(asOf).movePointRight(3).longValue();
-            } catch (NumberFormatException e) {
-                Log.warn("db node tells as_of %s", asOf);
-            }
+            position = Positions.read(asOf, 3, loop.now());
         }
         if (rank != null) {
-            role = rank.equals("source") ? Routing.Role.PRIMARY : Routing.Role.REPLICA;
+            role = rank.equals("source") ? Routing.Role.PRIMARY
+                    : rank.equals("copy") ? Routing.Role.REPLICA : Routing.Role.UNKNOWN;
         }
         boolean more = (ok.status() & Protocol.STATUS_MORE) != 0;
         if (more) {
--- a/src/main/java/lupinvalve/mysql/Params.java
+++ b/src/main/java/lupinvalve/mysql/Params.java
@@ -76,7 +76,7 @@
         return params;
     }
 
-    private static byte[] value(In in, int type) throws Framer.Malformed {
+    static byte[] value(In in, int type) throws Framer.Malformed {
         int size = switch (type) {
             case 1 -> 1;
             case 2, 13 -> 2;
--- a/src/main/java/lupinvalve/mysql/Protocol.java
+++ b/src/main/java/lupinvalve/mysql/Protocol.java
@@ -53,6 +53,9 @@
                     }
                 }
             }
+            if (in.left() > 0) {
+                throw new lupinvalve.net.Framer.Malformed("OK packet's length");
+            }
             return new Ok(affected, insertId, status, warnings, info, tracked);
         }
 
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -40,8 +40,12 @@
     private byte[] kept = new byte[0];
     private int length;
     private boolean deaf;
+    private volatile int reads;
     // The core's side.
     private IoSession session;
+    private int readsTold;
+    private boolean rest;
+    private long writtenAtRead;
     private ConnectFuture dialling;
     private long handed;
     private boolean over;
@@ -69,7 +73,7 @@
         });
     }
 
-    void received(IoBuffer in) {
+    void received(IoBuffer in, long written) {
         if (deaf) {
             return;
         }
@@ -95,7 +99,12 @@
         }
         long at = loop.now();
         String why = fault;
+        boolean behind = why != null || length > 0;
+        reads++;
         loop.post(() -> {
+            readsTold++;
+            rest = behind;
+            writtenAtRead = written;
             if (!over && !messages.isEmpty()) {
                 events.messages(this, messages, at);
             }
@@ -139,6 +148,16 @@
         session.write(buffer);
     }
 
+    /** Whether bytes have come behind the messages that are being told. */
+    public boolean more() {
+        return rest || reads != readsTold;
+    }
+
+    /** How many bytes had gone out when the messages that are being told came in. */
+    public long writtenAtRead() {
+        return writtenAtRead;
+    }
+
     /** Bytes given to {@link #write} so far. */
     public long handed() {
         return handed;
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -92,7 +92,7 @@
     /** Starts to connect; {@link Link.Events#opened} or {@link Link.Events#closed} tells how that went. */
     public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
         Link link = new Link(loop, framer, events);
-        if (address.isUnresolved()) {
+        if (address.isUnresolved() || connector.isDisposing()) {
             link.ended();
             return link;
         }
@@ -123,7 +123,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            link(session).received((IoBuffer) message);
+            link(session).received((IoBuffer) message, session.getWrittenBytes());
         }
 
         @Override
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -51,9 +51,9 @@
         private final String node;
         private long slot;
         private Link link;
-        private boolean greeted, started;
+        private boolean greeted, started, more;
         private Job job;
-        private long before;
+        private long before, through;
         private Deadlines.Deadline limit;
 
         protected Conn(String node) {
@@ -113,6 +113,11 @@
         if (conn.greeted) {
             return;
         }
+        if (conn.more) {
+            Log.warn("db node %s says more than its greeting", conn.node);
+            broken(conn);
+            return;
+        }
         conn.greeted = true;
         loop.drop(conn.limit);
         if (conn.job == null) {
@@ -122,12 +127,15 @@
         }
     }
 
-    /** The job has its whole answer; the connection is free, or is closed where it can't be used again. */
+    /**
+     * The job has its whole answer; the connection is free, or is closed where it can't be used again. Guards against
+     * bytes behind the answer, which would be read as the next request's: they spoil the connection, not the answer.
+     */
     protected final void done(Conn conn, boolean reusable, Ending ending, Object answer, long position,
             Routing.Role role) {
         Job job = conn.job;
         release(conn);
-        if (reusable) {
+        if (reusable && !conn.more) {
             rest(conn);
         } else {
             forget(conn);
@@ -141,7 +149,8 @@
         conn.link.drop();
         loop.drop(conn.limit);
         forget(conn);
-        lost(conn);
+        // MINA may be writing the request right now, so it counts as out.
+        lost(conn, conn.started);
     }
 
     // ---- the core's calls ----
@@ -195,7 +204,7 @@
             // Nothing of the request was handed over: the greeting never came.
             forget(conn);
             conn.link.drop();
-            lost(conn);
+            lost(conn, false);
         });
         conn.link = net.dial(target, framer(), new Events(conn));
         return conn;
@@ -257,6 +266,7 @@
             });
         }
         start(conn);
+        conn.through = conn.link.handed();
     }
 
     private void release(Conn conn) {
@@ -293,13 +303,12 @@
     }
 
     /** The connection is gone with its job: whether the request may have run depends on what was written. */
-    private void lost(Conn conn) {
+    private void lost(Conn conn, boolean left) {
         Job job = conn.job;
         if (job == null) {
             return;
         }
         Ending known = known(conn);
-        boolean left = conn.started && conn.link.mayHaveLeft(conn.before);
         // An error in the greeting is no word on the request: that has not left.
         Ending ending = known != null && (left || known.neverRan) ? known
                 : left ? Ending.BROKEN : Ending.NOT_CONNECTED;
@@ -329,9 +338,17 @@
 
         @Override
         public void messages(Link link, List<byte[]> messages, long atMicros) {
-            for (byte[] message : messages) {
-                if (conns.get(conn.slot) == conn) {
-                    message(conn, message);
+            for (int i = 0; i < messages.size() && conns.get(conn.slot) == conn; i++) {
+                conn.more = i + 1 < messages.size() || link.more();
+                if (conn.greeted && conn.job == null) {
+                    Log.warn("db node %s speaks unasked", conn.node);
+                    broken(conn);
+                } else if (conn.started && link.writtenAtRead() < conn.through) {
+                    // It came before the request was out: a copy or the rest of an earlier answer.
+                    Log.warn("db node %s answers what it was not asked", conn.node);
+                    broken(conn);
+                } else {
+                    message(conn, messages.get(i));
                 }
             }
         }
@@ -346,7 +363,7 @@
         public void closed(Link link) {
             loop.drop(conn.limit);
             forget(conn);
-            lost(conn);
+            lost(conn, conn.started && conn.link.mayHaveLeft(conn.before));
         }
     }
 
--- a/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/src/main/java/lupinvalve/pg/PgBackend.java
@@ -1,11 +1,11 @@
 package lupinvalve.pg;
 
 import java.io.ByteArrayOutputStream;
-import java.math.BigDecimal;
 import java.util.Arrays;
 import lupinvalve.Routing;
 import lupinvalve.Routing.Ending;
 import lupinvalve.core.Pooler;
+import lupinvalve.core.Positions;
 import lupinvalve.core.Statement;
 import lupinvalve.log.Log;
 import lupinvalve.net.Framer;
@@ -14,7 +14,8 @@
 
 /** Speaks PostgreSQL's protocol to db nodes: simple queries only. */
 public final class PgBackend extends Pool {
-    private static final int MESSAGE_MOST = 1 << 20;
+    /** Values have 64 KiB at most. */
+    private static final int ROW_MOST = 72 << 10, ANSWER_MOST = 96 << 10;
     private static final byte[] PROBE = PgMessages.texts('Q', "SHOW vitals");
     private final byte[] startup;
 
@@ -23,11 +24,14 @@
         startup = PgMessages.startup(user, database);
     }
 
+    /** How far an answer has come. */
+    private enum At { START, HEAD, ROW, COMPLETE, FAILED }
+
     private static final class PgConn extends Conn {
         private final ByteArrayOutputStream answer = new ByteArrayOutputStream(256);
+        private At at = At.START;
+        private int size;
         private Ending error;
-        private int rows;
-        private boolean complete;
         private byte[] row;
         private long position = Routing.NO_POSITION;
         private Routing.Role role = Routing.Role.UNKNOWN;
@@ -39,7 +43,7 @@
 
     @Override
     protected Framer framer() {
-        return new PgFramer(false, MESSAGE_MOST);
+        return new PgFramer(false, ROW_MOST);
     }
 
     @Override
@@ -56,9 +60,9 @@
     protected void start(Conn conn) {
         PgConn c = (PgConn) conn;
         c.answer.reset();
+        c.at = At.START;
+        c.size = 0;
         c.error = null;
-        c.rows = 0;
-        c.complete = false;
         c.row = null;
         c.position = Routing.NO_POSITION;
         c.role = Routing.Role.UNKNOWN;
@@ -74,20 +78,56 @@
     @Override
     protected void message(Conn conn, byte[] message) {
         PgConn c = (PgConn) conn;
+        c.size += message.length;
+        if (c.size > ANSWER_MOST || !PgMessages.sound(message) || !(begun(c) ? answered(c, message)
+                : greeting(c, message))) {
+            // It may have run, and where the next answer starts nobody can tell.
+            Log.warn("db node: a spoilt %s message", (char) message[0]);
+            c.error = null;
+            broken(c);
+        }
+    }
+
+    /** Before the first request; gives whether the message may stand there. */
+    private boolean greeting(PgConn c, byte[] message) {
+        switch (message[0]) {
+            case 'R', 'S', 'K', 'N' -> { }
+            case 'E' -> c.error = ending(message);
+            case 'Z' -> greeted(c);
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Takes a message of an answer: T, D, C or an error, then Z. Gives whether it may stand there. */
+    private boolean answered(PgConn c, byte[] message) {
+        At next = switch (message[0]) {
+            case 'S', 'N' -> c.at;
+            case 'T' -> c.at == At.START ? At.HEAD : null;
+            case 'D' -> c.at == At.HEAD ? At.ROW : null;
+            case 'C' -> c.at == At.HEAD || c.at == At.ROW ? At.COMPLETE : null;
+            case 'E' -> c.at == At.COMPLETE || c.at == At.FAILED ? null : At.FAILED;
+            case 'Z' -> c.at == At.COMPLETE || c.at == At.FAILED ? c.at : null;
+            default -> null;
+        };
+        if (next == null) {
+            return false;
+        }
+        c.at = next;
         switch (message[0]) {
             case 'S' -> status(c, message);
-            case 'T', 'C', 'D' -> {
+            case 'T', 'C' -> c.answer.writeBytes(message);
+            case 'D' -> {
                 c.answer.writeBytes(message);
-                if (message[0] == 'D') {
-                    c.rows++;
-                    c.row = message;
-                }
-                c.complete |= message[0] == 'C';
+                c.row = message;
             }
             case 'E' -> c.error = ending(message);
             case 'Z' -> ready(c);
             default -> { }
         }
+        return true;
     }
 
     private static Ending ending(byte[] message) {
@@ -113,11 +153,7 @@
         if (name.equals("rank")) {
             c.role = role(value);
         } else {
-            try {
-                c.position = new BigDecimal(value).movePointRight(3).longValue();
-            } catch (NumberFormatException e) {
-                Log.warn("db node tells as_of %s", value);
-            }
+            c.position = Positions.read(value, 3, loop.now());
         }
     }
 
@@ -130,35 +166,26 @@
     }
 
     private void ready(PgConn c) {
-        if (!begun(c)) {
-            greeted(c);
-            return;
-        }
         if (c.job().probe()) {
             vitals(c);
             return;
         }
-        Ending ending = c.error != null ? c.error : c.complete && c.rows == 1 ? Ending.SERVED : Ending.ERROR;
+        Ending ending = c.error != null ? c.error : c.row != null ? Ending.SERVED : Ending.ERROR;
         done(c, true, ending, ending == Ending.SERVED ? c.answer.toByteArray() : null, c.position, c.role);
     }
 
     /** The report's one row: {@code x0=seconds,x1=0}. */
     private void vitals(PgConn c) {
-        Ending ending = c.error != null ? c.error : c.rows == 1 ? Ending.SERVED : Ending.ERROR;
+        Ending ending = c.error != null ? c.error : c.row != null ? Ending.SERVED : Ending.ERROR;
         long position = Routing.NO_POSITION;
         Routing.Role role = Routing.Role.UNKNOWN;
         if (ending == Ending.SERVED && c.row.length > 11) {
             String report = new String(c.row, 11, c.row.length - 11, java.nio.charset.StandardCharsets.UTF_8);
             for (String field : report.split(",")) {
-                try {
-                    if (field.startsWith("x0=")) {
-                        position = new BigDecimal(field.substring(3).strip()).movePointRight(6).longValue();
-                    } else if (field.startsWith("x1=")) {
-                        role = new BigDecimal(field.substring(3).strip()).signum() > 0 ? Routing.Role.PRIMARY
-                                : Routing.Role.REPLICA;
-                    }
-                } catch (NumberFormatException e) {
-                    Log.warn("db node reports %s", field);
+                if (field.startsWith("x0=")) {
+                    position = Positions.read(field.substring(3), 6, loop.now());
+                } else if (field.matches("x1=[01](\\.0+)?")) {
+                    role = field.startsWith("x1=1") ? Routing.Role.PRIMARY : Routing.Role.REPLICA;
                 }
             }
         }
--- a/src/main/java/lupinvalve/pg/PgFramer.java
+++ b/src/main/java/lupinvalve/pg/PgFramer.java
@@ -4,16 +4,27 @@
 import java.util.List;
 import lupinvalve.net.Framer;
 
-/** Cuts PostgreSQL's messages, version 3: a type, a length that counts itself, a body. */
+/**
+ * Cuts PostgreSQL's messages, version 3: a type, a length that counts itself, a body. Types and lengths are checked as
+ * soon as they are there: what can't be read is not waited for.
+ */
 final class PgFramer implements Framer {
     static final int SSL_REQUEST = 80877103, GSS_REQUEST = 80877104, CANCEL_REQUEST = 80877102;
     private static final int STARTUP_MOST = 10_000;
+    /** What is neither a query nor a row is short. */
+    private static final int OTHER_MOST = 8192;
+    private static final String FROM_CLIENTS = "QXSPBEDCFHdcfp", FROM_NODES = "TDCEZSNRK";
     private final int most;
+    private final boolean client;
     private boolean startup;
 
-    /** @param startup whether untyped startup messages come first, as clients send them */
-    PgFramer(boolean startup, int most) {
-        this.startup = startup;
+    /**
+     * @param client whether a client sends, whose untyped startup message comes first
+     * @param most bytes of a query or a row
+     */
+    PgFramer(boolean client, int most) {
+        this.client = client;
+        startup = client;
         this.most = most;
     }
 
@@ -22,11 +33,14 @@
         int at = from;
         while (true) {
             int head = startup ? 0 : 1;
+            if (!startup && to > at && (client ? FROM_CLIENTS : FROM_NODES).indexOf(bytes[at]) < 0) {
+                throw new Malformed("message type " + bytes[at]);
+            }
             if (to - at < head + 4) {
                 return at;
             }
             int length = int32(bytes, at + head);
-            if (length < (startup ? 8 : 4) || length > (startup ? STARTUP_MOST : most)) {
+            if (length < (startup ? 8 : 4) || length > (startup ? STARTUP_MOST : most(bytes[at]))) {
                 throw new Malformed("message length " + length);
             }
             if (to - at < head + length) {
@@ -42,6 +56,10 @@
         }
     }
 
+    private int most(byte type) {
+        return type == (client ? 'Q' : 'D') ? most : type == 'Z' ? 5 : OTHER_MOST;
+    }
+
     static int int32(byte[] bytes, int at) {
         return (bytes[at] & 255) << 24 | (bytes[at + 1] & 255) << 16 | (bytes[at + 2] & 255) << 8
                 | bytes[at + 3] & 255;
--- a/src/main/java/lupinvalve/pg/PgMessages.java
+++ b/src/main/java/lupinvalve/pg/PgMessages.java
@@ -74,4 +74,43 @@
         }
         return "";
     }
+
+    /** Whether the lengths inside a db node's message agree with its own. */
+    static boolean sound(byte[] message) {
+        int length = message.length;
+        return switch (message[0]) {
+            case 'T' -> length > 7 && int16(message, 5) == 1 && end(message, 7) + 18 == length;
+            case 'D' -> length >= 11 && int16(message, 5) == 1
+                    && Math.max(0, PgFramer.int32(message, 7)) == length - 11 && PgFramer.int32(message, 7) >= -1;
+            case 'C' -> end(message, 5) == length && length > 6;
+            case 'S' -> end(message, end(message, 5)) == length;
+            case 'E', 'N' -> fields(message);
+            case 'Z' -> length == 6 && "ITE".indexOf(message[5]) >= 0;
+            case 'R' -> length == 9 && PgFramer.int32(message, 5) == 0;
+            case 'K' -> length == 13;
+            default -> false;
+        };
+    }
+
+    /** Fields of a type and a text each, closed by one zero byte; an error names a code of five characters. */
+    private static boolean fields(byte[] message) {
+        int at = 5;
+        while (at < message.length && message[at] != 0) {
+            at = end(message, at + 1);
+        }
+        return at == message.length - 1 && (message[0] == 'N' || errorField(message, 'C').length() == 5);
+    }
+
+    private static int int16(byte[] bytes, int at) {
+        return (bytes[at] & 255) << 8 | bytes[at + 1] & 255;
+    }
+
+    /** Behind the zero byte that ends a text; past the message's end where there is none. */
+    private static int end(byte[] message, int from) {
+        int to = from;
+        while (to < message.length && message[to] != 0) {
+            to++;
+        }
+        return to + 1;
+    }
 }
--- a/src/test/java/lupinvalve/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -559,6 +559,25 @@
         give(new Routing.Outcome(id, attempt, sentTo(id), Ending.ERROR, 5 * MS, false, now - MS, Role.REPLICA));
     }
 
+    @Test
+    void oneBrokenConnectionBlamesNobodyButTwoWithNoAnswerBetweenDo() {
+        start(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.UNSAFE);
+        known();
+        for (String id : List.of("w1", "w2", "w3")) {
+            request(id, WRITE, "s", 2000 * MS);
+            outcome(id, 0, "a", Ending.BROKEN, Routing.NO_POSITION, Role.UNKNOWN);
+            request(id + "b", WRITE, "s", 2000 * MS);
+            assertEquals("a", sentTo(id + "b"));
+            outcome(id + "b", 0, "a", Ending.SERVED, now, Role.PRIMARY);
+        }
+        request("w4", WRITE, "s", 2000 * MS);
+        request("w5", WRITE, "s", 2000 * MS);
+        outcome("w4", 0, "a", Ending.BROKEN, Routing.NO_POSITION, Role.UNKNOWN);
+        outcome("w5", 0, "a", Ending.BROKEN, Routing.NO_POSITION, Role.UNKNOWN);
+        request("w6", WRITE, "s", 2000 * MS);
+        assertNull(sentTo("w6"));
+    }
+
     @Test
     void requestThatFailsAnywhereIsGivenUpAndBlamesNobody() {
         start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.KEYED);
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -1,5 +1,7 @@
 package lupinvalve.stories;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static lupinvalve.stories.PlatformTest.booking;
 import static lupinvalve.stories.PlatformTest.calm;
 import static lupinvalve.stories.PlatformTest.end;
 import static lupinvalve.stories.PlatformTest.messages;
@@ -70,6 +72,55 @@
         }
     }
 
+    /** A message of a db node, its length as told, which may be wrong. */
+    static String message(char type, int length, String body) {
+        return type + "" + (char) (length >> 24 & 255) + (char) (length >> 16 & 255) + (char) (length >> 8 & 255)
+                + (char) (length & 255) + body;
+    }
+
+    private static final String HEAD = message('T', 29, "\0\1blob\0" + "\0".repeat(18));
+    private static final String ROW = message('D', 13, "\0\1\0\0\0\3odd");
+    private static final String DONE = message('C', 13, "SELECT 1\0");
+    private static final String READY = message('Z', 5, "I");
+
+    @Test
+    void a_spoilt_answer_may_have_run_and_its_connection_is_not_used_again() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        try (World world = calm(primary, new DbNode("s-2", false)); Connection client = world.pg()) {
+            int id = 0;
+            for (String spoilt : List.of("noise without an end ".repeat(40), "\0\0\0",
+                    HEAD + message('D', -1294967296, "\0\1\0\0\0\3odd"),
+                    HEAD + message('D', 13, "\0\1\0\0\0\7odd") + DONE + READY,
+                    HEAD + message('D', 14, "\0\1\0\0\0\3odd") + DONE + READY,
+                    HEAD + message('D', 13, "\0\2\0\0\0\3odd") + DONE + READY, HEAD + ROW + ROW + DONE + READY,
+                    ROW + DONE + READY, HEAD + ROW + READY, READY, HEAD + ROW + message('C', 12, "SELECT 1") + READY,
+                    HEAD + ROW + DONE + message('Z', 5, "?"), HEAD + ROW + DONE + message('Z', 6, "I"),
+                    HEAD + message('E', 9, "Cno\0\0") + READY)) {
+                primary.strange = spoilt.getBytes(ISO_8859_1);
+                primary.script.add(DbNode.Makes.SPOILT);
+                assertEquals("58000", end(client, booking("v" + ++id, 900)), spoilt);
+                assertEquals("value", end(client, booking("w" + id, 900)), spoilt);
+            }
+            assertEquals(2 * id, primary.runs.size());
+            assertTrue(primary.runs.values().stream().allMatch(runs -> runs == 1));
+        }
+    }
+
+    @Test
+    void what_comes_behind_a_whole_answer_spoils_only_the_connection() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        try (World world = calm(primary, new DbNode("s-2", false)); Connection client = world.pg()) {
+            int id = 0;
+            for (String behind : List.of(HEAD + ROW + DONE + READY, "noise", "D", READY)) {
+                primary.strange = behind.getBytes(ISO_8859_1);
+                primary.script.add(DbNode.Makes.MORE);
+                assertEquals("value", end(client, booking("x" + ++id, 900)), behind);
+                assertEquals("value", end(client, booking("y" + id, 900)), behind);
+                assertEquals(id + 1, primary.met.get(), behind);
+            }
+        }
+    }
+
     @Test
     void a_hang_up_brings_the_new_discovery_and_a_bad_file_changes_nothing() throws Exception {
         Path file = Files.createTempFile("lupinvalve", ".json");
