Turn down bad fields and ids in use, bound what waits for the core

At fault: Statement.ask guessed the class's deadline for a missing d and took NaN, signs and exponents by Double.parseDouble; nothing compared ids; Link posted what it read however far the core was behind.

Fields are whole numbers or an error (42601, MySQL 1064), id and d must be there, and an id that is open elsewhere is turned down without touching that request. A connection is not read on while 256 KiB of it wait for the core, and all statements that wait have 8 MiB at most.

--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import lupinvalve.Router;
 import lupinvalve.Routing;
 import lupinvalve.Routing.Ending;
@@ -23,11 +25,12 @@
     /**
      * What a front asks.
      *
+     * @param id the client's name for it, which no other open request has
      * @param afterMicros position that a read must see, carried by the client; 0 for none
      * @param expiresMicros when the client stops waiting
      * @param protocol name of the backend that can carry the statement
      */
-    public record Ask(int classIndex, boolean repeated, String session, long afterMicros, int group,
+    public record Ask(String id, int classIndex, boolean repeated, String session, long afterMicros, int group,
             long expiresMicros, String protocol, Object statement) {}
 
     private static final class Held {
@@ -68,6 +71,7 @@
     private final Map<String, Backend> backends = new java.util.LinkedHashMap<>();
     private final Map<String, Map<String, String>> addresses = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
+    private final Set<String> named = new HashSet<>();
     private final Slots<Held> requests = new Slots<>(MOST);
     private final Slots<Attempt> attempts = new Slots<>(MOST);
     private final ArrayDeque<Routing.Event> events = new ArrayDeque<>();
@@ -112,6 +116,14 @@
 
     // ---- what happens ----
 
+    /**
+     * Whether a request of this name is open. Guards it against strangers: another with its name is not sent on, since
+     * db nodes would take the two for one.
+     */
+    public boolean named(String id) {
+        return named.contains(id);
+    }
+
     /** Takes a request; its ticket returns with the one final answer. Gives a handle for {@link #gone}. */
     public long request(Front front, long ticket, Ask ask) {
         if (requests.full()) {
@@ -122,6 +134,7 @@
         held.handle = requests.put(held);
         held.id = Long.toHexString(held.handle);
         byId.put(held.id, held);
+        named.add(ask.id());
         long now = loop.now();
         long left = ask.expiresMicros() - now;
         long after = ask.afterMicros();
@@ -232,6 +245,7 @@
         loop.drop(held.overtime);
         requests.free(held.handle);
         byId.remove(held.id);
+        named.remove(held.ask.id());
     }
 
     // ---- what the router wants ----
--- a/src/main/java/lupinvalve/core/Statement.java
+++ b/src/main/java/lupinvalve/core/Statement.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import lupinvalve.Routing;
 
 /**
@@ -17,11 +18,13 @@
     public static final class Unclear extends Exception {
         private static final long serialVersionUID = 1L;
 
-        Unclear(String message) {
+        public Unclear(String message) {
             super(message);
         }
     }
 
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
+    private static final int ID_MOST = 128;
     private final byte[] text;
     private final Map<String, String> fields = new HashMap<>();
     private int waitFrom = -1, waitTo = -1;
@@ -80,6 +83,10 @@
         return fields.get(name);
     }
 
+    public int size() {
+        return text.length;
+    }
+
     /** The first quoted literal, which names the session, or null. */
     public String key() {
         int from = 0;
@@ -122,27 +129,34 @@
         if (index == classes.size()) {
             throw new Unclear(name == null ? "field c, the class, is missing" : "field c names no class");
         }
-        long wait = number("d", classes.get(index).deadlineMicros() / 1000);
-        long group = number("cluster", -1);
+        String id = fields.get("id");
+        if (id == null || id.isEmpty() || id.length() > ID_MOST) {
+            throw new Unclear("field id is missing or too long");
+        }
+        long wait = number("d");
+        long group = number("cluster");
+        if (wait <= 0) {
+            throw new Unclear("field d is missing or no time to wait");
+        }
         if (group < 0 || group > Integer.MAX_VALUE) {
             throw new Unclear("field cluster is missing or no group");
         }
         // What a client claims to wait can't be longer than a class allows: it would hold its slot for ever.
         long most = Math.max(classes.get(index).deadlineMicros() / 1000, 1);
-        return new Pooler.Ask(index, "1".equals(fields.get("r")), session != null ? session : key(),
-                number("after", 0) * 1000, (int) group,
-                arrivedMicros + Math.max(0, Math.min(wait, most)) * 1000, protocol, carried);
+        return new Pooler.Ask(id, index, "1".equals(fields.get("r")), session != null ? session : key(),
+                Math.max(0, number("after")) * 1000, (int) group, arrivedMicros + Math.min(wait, most) * 1000,
+                protocol, carried);
     }
 
-    private long number(String name, long other) throws Unclear {
+    /** A field's whole number, or -1 where it is missing. Nothing is guessed for one that is no such number. */
+    private long number(String name) throws Unclear {
         String value = fields.get(name);
         if (value == null) {
-            return other;
+            return -1;
         }
-        try {
-            return (long) Double.parseDouble(value);
-        } catch (NumberFormatException e) {
+        if (!NUMBER.matcher(value).matches()) {
             throw new Unclear("field " + name + " is no number");
         }
+        return Long.parseLong(value);
     }
 }
--- a/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -27,6 +27,8 @@
 public final class MysqlFront implements Front, Link.Events {
     public static final String PROTOCOL = "mysql";
     private static final int PACKET_MOST = 1 << 20, STATEMENTS_MOST = 256, WAITING_MOST = 64;
+    /** Bytes of all commands that wait their turn. */
+    private static final long WAITING_BYTES = 8 << 20;
     private static final int AHEAD_MOST = 1 << 20;
     private static final long OFFERED = Protocol.LONG_PASSWORD | Protocol.FOUND_ROWS | Protocol.CONNECT_WITH_DB
             | Protocol.PROTOCOL_41 | Protocol.TRANSACTIONS | Protocol.SECURE_CONNECTION | Protocol.PLUGIN_AUTH
@@ -38,6 +40,7 @@
     private final Slots<Client> clients;
     private final Map<Link, Client> byLink = new IdentityHashMap<>();
     private final Spare<Client> spare;
+    private long waiting;
     private boolean closing;
 
     private enum At { LOGIN, SWITCHED, READY }
@@ -134,6 +137,8 @@
         byLink.remove(client.link);
         clients.free(client.slot);
         spare.gone(client);
+        client.waiting.forEach(command -> waiting -= command.packet().length);
+        client.waiting.clear();
         if (client.busy) {
             pooler.gone(client.request);
         }
@@ -165,9 +170,11 @@
             try {
                 if (client.at != At.READY) {
                     login(client, packet);
-                } else if (client.busy && client.waiting.size() >= WAITING_MOST) {
+                } else if (client.busy && (client.waiting.size() >= WAITING_MOST
+                        || waiting + packet.length > WAITING_BYTES)) {
                     malformed(link, "too many commands at once");
                 } else if (client.busy) {
+                    waiting += packet.length;
                     client.waiting.add(new Command(packet, atMicros));
                 } else {
                     command(client, packet, atMicros);
@@ -387,6 +394,9 @@
         try {
             Pooler.Ask ask = request.statement().ask(pooler.settings().classes(), atMicros, session, PROTOCOL,
                     request);
+            if (pooler.named(ask.id())) {
+                throw new Statement.Unclear("field id names an open request");
+            }
             client.busy = true;
             client.binary = request.prepared();
             client.request = -1;
@@ -457,6 +467,7 @@
         try {
             while (!client.busy && !client.waiting.isEmpty() && clients.get(client.slot) == client) {
                 Command command = client.waiting.poll();
+                waiting -= command.packet().length;
                 command(client, command.packet(), command.atMicros());
             }
             rest(client);
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import lupinvalve.core.Loop;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -30,6 +31,8 @@
     /** What a peer may leave unread before its connection is closed. */
     private static final long UNREAD_MOST = 1 << 20;
 
+    /** Bytes of one connection that may wait for the core. */
+    private static final int AHEAD_MOST = 256 << 10;
     /** How long a peer may take to read the last words. */
     private static final long FLUSH = 1_000_000;
 
@@ -41,6 +44,7 @@
     private int length;
     private boolean deaf;
     private volatile int reads;
+    private final AtomicInteger ahead = new AtomicInteger();
     // The core's side.
     private IoSession session;
     private int readsTold;
@@ -73,11 +77,12 @@
         });
     }
 
-    void received(IoBuffer in, long written) {
+    void received(IoSession from, IoBuffer in) {
         if (deaf) {
             return;
         }
         int more = in.remaining();
+        long written = from.getWrittenBytes();
         if (length + more > kept.length) {
             kept = Arrays.copyOf(kept, Math.max(length + more, Math.min(kept.length * 2, kept.length + 65536)));
         }
@@ -101,7 +106,17 @@
         String why = fault;
         boolean behind = why != null || length > 0;
         reads++;
+        if (ahead.addAndGet(more) > AHEAD_MOST) {
+            // Guards the core's queue against a peer that sends faster than its messages can be worked off.
+            from.suspendRead();
+            if (ahead.get() <= AHEAD_MOST) {
+                from.resumeRead();
+            }
+        }
         loop.post(() -> {
+            if (ahead.addAndGet(-more) <= AHEAD_MOST && from.isReadSuspended()) {
+                from.resumeRead();
+            }
             readsTold++;
             rest = behind;
             writtenAtRead = written;
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -123,7 +123,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            link(session).received((IoBuffer) message, session.getWrittenBytes());
+            link(session).received(session, (IoBuffer) message);
         }
 
         @Override
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -18,6 +18,8 @@
     /** Values of 64 KiB are 128 KiB as hexadecimal digits. */
     private static final int MESSAGE_MOST = 160 << 10;
     private static final int PIPELINED_MOST = 64;
+    /** Bytes of all statements that wait for their answers. */
+    private static final long WAITING_MOST = 8 << 20;
     /** Connections past the bound that are still told so, and for how long they may stay. */
     private static final int EXTRA_MOST = 32;
     private static final long EXTRA_WAIT = 250_000;
@@ -28,6 +30,7 @@
     private final Spare<Client> spare;
     private boolean closing;
     private int extra;
+    private long waiting;
 
     private static final class Client {
         final Link link;
@@ -44,6 +47,7 @@
     private static final class Reply {
         final Client client;
         long request = -1, ticket;
+        int size;
         byte[][] bytes;
 
         Reply(Client client) {
@@ -112,6 +116,7 @@
         for (Reply reply : client.due) {
             if (reply.bytes == null) {
                 replies.free(reply.ticket);
+                waiting -= reply.size;
                 pooler.gone(reply.request);
             }
         }
@@ -197,7 +202,8 @@
             answer(client, PgMessages.EMPTY, PgMessages.READY);
         } else if (word.equals("SET") || word.equals("RESET") || word.equals("DISCARD")) {
             answer(client, PgMessages.texts('C', word), PgMessages.READY);
-        } else if (client.due.size() >= PIPELINED_MOST || replies.full()) {
+        } else if (client.due.size() >= PIPELINED_MOST || replies.full()
+                || waiting + text.length > WAITING_MOST) {
             answer(client, refusal(pooler.settings().limits().maxRetryAfterMicros()), PgMessages.READY);
         } else {
             ask(client, new Statement(text), atMicros);
@@ -207,7 +213,12 @@
     private void ask(Client client, Statement statement, long atMicros) {
         try {
             Pooler.Ask ask = statement.ask(pooler.settings().classes(), atMicros, null, PROTOCOL, statement);
+            if (pooler.named(ask.id())) {
+                throw new Statement.Unclear("field id names an open request");
+            }
             Reply reply = new Reply(client);
+            reply.size = statement.size();
+            waiting += reply.size;
             client.due.add(reply);
             reply.ticket = replies.put(reply);
             reply.request = pooler.request(this, reply.ticket, ask);
@@ -254,6 +265,7 @@
     private void settle(long ticket, byte[] bytes) {
         Reply reply = replies.free(ticket);
         if (reply != null) {
+            waiting -= reply.size;
             reply.bytes = new byte[][] {bytes, PgMessages.READY};
             flush(reply.client);
         }
--- a/src/test/java/lupinvalve/mysql/MysqlTest.java
+++ b/src/test/java/lupinvalve/mysql/MysqlTest.java
@@ -297,6 +297,27 @@
         }
     }
 
+    @Test
+    void bad_fields_and_anothers_id_are_turned_down() throws Exception {
+        primary.script.add(Makes.HANG);
+        try (World world = world(); Connection client = client(world); Connection stranger = client(world)) {
+            Thread owner = new Thread(() -> {
+                try {
+                    end(client, booking("o1", 700));
+                } catch (SQLException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            owner.start();
+            World.await("out", () -> primary.runs.containsKey("o1"));
+            assertEquals("1064", end(stranger, booking("o1", 700)));
+            assertEquals("1064", end(stranger, booking("o2", 700).replace("d=700", "d=1e3")));
+            assertEquals("1064", end(stranger, booking("o2", 700).replace("id=o2,", "")));
+            assertEquals(1, primary.seen.size());
+            owner.join();
+        }
+    }
+
     @Test
     void broken_packets_end_their_own_connection_only() throws Exception {
         try (World world = world(); Connection client = client(world);
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -15,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -72,6 +73,86 @@
         }
     }
 
+    @Test
+    void a_field_that_is_bad_is_answered_with_an_error_and_reaches_no_db_node() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        DbNode replica = new DbNode("s-2", false);
+        try (World world = calm(primary, replica); Connection client = world.pg()) {
+            String good = read("f1", 900);
+            for (String bad : List.of(good.replace("id=f1,", ""), good.replace("f1", ""), good.replace("d=900,", ""),
+                    good.replace("900", "-900"), good.replace("900", "0"), good.replace("900", "NaN"),
+                    good.replace("900", "9e2"), good.replace("900", "0x9"), good.replace("900", "9".repeat(30)),
+                    good.replace("cluster=1", "cluster=-1"), good.replace("cluster=1", "cluster=one"),
+                    good.replace("bag-status", "bag"), good.replace(" */", ",after=soon */"),
+                    good.replace("f1", "f".repeat(200)), "SELECT blob FROM rows")) {
+                assertEquals("42601", end(client, bad), bad);
+            }
+            assertTrue(primary.seen.isEmpty() && replica.seen.isEmpty());
+            assertEquals("value", end(client, good));
+        }
+    }
+
+    @Test
+    void the_id_of_anothers_open_request_is_turned_down_and_leaves_that_one_alone() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        primary.script.add(DbNode.Makes.HANG);
+        try (World world = calm(primary, new DbNode("s-2", false)); Connection stranger = world.pg();
+                Socket owner = world.raw(booking("o1", 700))) {
+            World.await("out", () -> primary.runs.containsKey("o1"));
+            assertEquals("42601", end(stranger, booking("o1", 700)));
+            messages(owner, 'Z', 1);
+            assertEquals(List.of("E58000", "Z"), messages(owner, 'Z', 1));
+            assertEquals(1, primary.seen.size());
+            // It is over now, so its name is free again.
+            assertEquals("value", end(stranger, booking("o1", 700)));
+        }
+    }
+
+    @Test
+    void clients_that_can_not_be_read_get_an_end_soon_and_disturb_nobody() throws Exception {
+        try (World world = calm(new DbNode("s-1", true), new DbNode("s-2", false)); Connection client = world.pg()) {
+            byte[] noise = "a line that never ends ".repeat(400).getBytes(ISO_8859_1);
+            for (String head : List.of("\0\0\0\4", "\377\377\377\377", "\177\377\377\377", "GET / HTTP/1.1\r\n\r\n")) {
+                try (Socket bad = new Socket("127.0.0.1", world.daemon.address().getPort())) {
+                    gone(bad, head.getBytes(ISO_8859_1), noise);
+                }
+            }
+            for (String head : List.of("Q\0\0\0\3", "Q\200\0\0\0", "Q\3\223\207\0", "?", "Z\0\0\0\5I")) {
+                try (Socket bad = world.raw()) {
+                    messages(bad, 'Z', 1);
+                    gone(bad, head.getBytes(ISO_8859_1), noise);
+                }
+            }
+            try (Socket flood = world.raw()) {
+                messages(flood, 'Z', 1);
+                byte[] many = ("Q\0\0\0\15SELECT 1\0").repeat(60_000).getBytes(ISO_8859_1);
+                World.thread(() -> flood.getOutputStream().write(many));
+                messages(flood, 'Z', 60_000);
+            }
+            assertEquals("value", end(client, read("n1", 900)));
+        }
+    }
+
+    /** The peer ends the connection, whatever it says before, while it is sent more and more. */
+    private static void gone(Socket bad, byte[] head, byte[] noise) throws IOException {
+        bad.setSoTimeout(10_000);
+        World.thread(() -> {
+            bad.getOutputStream().write(head);
+            for (int i = 0; i < 6000; i++) {
+                bad.getOutputStream().write(noise);
+            }
+        });
+        long start = System.nanoTime();
+        try {
+            while (bad.getInputStream().read() >= 0) {
+                continue;
+            }
+        } catch (SocketException e) {
+            assertTrue(e.getMessage().contains("reset"), e.getMessage());
+        }
+        assertTrue(System.nanoTime() - start < 3_000_000_000L);
+    }
+
     /** A message of a db node, its length as told, which may be wrong. */
     static String message(char type, int length, String body) {
         return type + "" + (char) (length >> 24 & 255) + (char) (length >> 16 & 255) + (char) (length >> 8 & 255)
