Serve on after SIGTERM for as long as answers can be out before SIGKILL

The log shows the end of service 0.7 s after SIGTERM and the next start 3.0 s after it, whenever the program had ended: ending early gains nothing, since clients use the connections they have for as long as these stay open, and find nobody then. At fault: Daemon.drain closed them after 0.7 s. Ruled out: the switch of discovery (nothing failed at either SIGHUP).

The warm-up at the start is cut to 3000 rounds: of 270 ms of CPU until the port opens, 20000 rounds took 90.

--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -28,8 +28,10 @@
 
 /** One pooler with all its parts. */
 public final class Daemon {
-    /** After SIGTERM, how long new work is still taken. */
-    private static final long LINGER = 700_000;
+    /** The platform kills a pooler so long after SIGTERM and the longest deadline, which counts as 3 s at most. */
+    private static final long KILL = 700_000, LONGEST = 3_000_000;
+    /** Before that all is answered; and before that again nothing new is taken. */
+    private static final long ANSWERED = 250_000, LAST_CALL = 400_000;
     /** Descriptors kept for files, listeners, discovery and the JVM. */
     private static final int SPARE = 64;
     private static final long PROBE = 250_000;
@@ -178,11 +180,21 @@
         loop.post(() -> replicator.peer(address));
     }
 
-    /** Ends without losing what was taken; {@code then} runs when all is answered. */
+    /**
+     * Ends without losing what was taken; {@code then} runs when all is answered. Clients use the connections they have
+     * for as long as these stay open, and find nobody once they are closed: so requests are taken for as long as they
+     * can be answered before the platform kills the program, and the wait of those that come late is cut to that.
+     */
     public void drain(Runnable then) {
         loop.post(() -> {
             Log.info("draining: %d requests, %d clients", pooler.open(), front.open());
-            loop.after(LINGER, () -> {
+            long longest = 0;
+            for (Routing.RequestClass kind : config.site().settings().classes()) {
+                longest = Math.max(longest, kind.deadlineMicros());
+            }
+            long left = Math.min(longest, LONGEST) + KILL - ANSWERED;
+            pooler.lastAnswer(loop.now() + left);
+            loop.after(left - LAST_CALL, () -> {
                 listener.stop();
                 front.close();
                 if (mysqlListener != null) {
@@ -235,7 +247,7 @@
         Router router = new Router(1, config.site().settings(), now, actions::add);
         router.handle(now, new Routing.Members(Routing.ListForm.FULL, members), actions::add);
         int classes = config.site().settings().classes().size();
-        for (int i = 0; i < 20_000; i++) {
+        for (int i = 0; i < 3_000; i++) {
             now += 3_000;
             actions.clear();
             String id = Integer.toHexString(i);
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -37,16 +37,18 @@
         final Front front;
         final long ticket;
         final Ask ask;
+        final long expires;
         String id;
         long handle, token;
         int attempts;
         boolean answered;
         Deadlines.Deadline overtime;
 
-        Held(Front front, long ticket, Ask ask) {
+        Held(Front front, long ticket, Ask ask, long expires) {
             this.front = front;
             this.ticket = ticket;
             this.ask = ask;
+            this.expires = expires;
         }
     }
 
@@ -79,6 +81,7 @@
     private Marks marks = Marks.NONE;
     private Router router;
     private boolean handling;
+    private long lastAnswer = Long.MAX_VALUE;
 
     public Pooler(Loop loop, Routing.Settings settings) {
         this.loop = loop;
@@ -130,13 +133,13 @@
             front.refused(ticket, settings.limits().maxRetryAfterMicros());
             return -1;
         }
-        Held held = new Held(front, ticket, ask);
+        Held held = new Held(front, ticket, ask, Math.min(ask.expiresMicros(), lastAnswer));
         held.handle = requests.put(held);
         held.id = Long.toHexString(held.handle);
         byId.put(held.id, held);
         named.add(ask.id());
         long now = loop.now();
-        long left = ask.expiresMicros() - now;
+        long left = held.expires - now;
         long after = ask.afterMicros();
         long marked = ask.session() == null ? 0 : marks.lastCommit(ask.session());
         if (marked > after && access(held) == Routing.Access.SESSION) {
@@ -222,6 +225,11 @@
         }
     }
 
+    /** The program ends: requests that come from now on are answered by then. */
+    public void lastAnswer(long atMicros) {
+        lastAnswer = atMicros;
+    }
+
     public int open() {
         return requests.size();
     }
@@ -326,7 +334,7 @@
                     Routing.NO_POSITION, Routing.Role.UNKNOWN));
             return;
         }
-        long left = held.ask.expiresMicros() - now;
+        long left = held.expires - now;
         long wait = send.timeoutMicros() == 0 ? left : Math.min(send.timeoutMicros(), left);
         Attempt a = new Attempt(held, number, send.node(), now);
         a.handle = attempts.put(a);
--- a/src/test/java/lupinvalve/stories/PlatformTest.java
+++ b/src/test/java/lupinvalve/stories/PlatformTest.java
@@ -246,4 +246,36 @@
             assertThrows(ConnectException.class, () -> world.raw().close());
         }
     }
+
+    @Test
+    void told_to_stop_it_serves_on_for_as_long_as_answers_come_before_the_kill() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        try (World world = calm(primary, new DbNode("s-2", false)); Connection client = world.pg();
+                Socket late = world.raw()) {
+            messages(late, 'Z', 1);
+            CountDownLatch stopped = new CountDownLatch(1);
+            long start = System.nanoTime();
+            world.daemon.drain(stopped::countDown);
+            long served = 0;
+            boolean asked = false;
+            for (int id = 0; "value".equals(end(client, read("t" + id, 900))); id++) {
+                served = System.nanoTime() - start;
+                if (served > 1_000_000_000L && !asked) {
+                    asked = true;
+                    primary.script.add(DbNode.Makes.HANG);
+                    late.getOutputStream().write(query(booking("late", 2000)));
+                }
+            }
+            assertTrue(asked);
+            // Its wait was cut: SIGKILL may come 0.7 s after the longest deadline, which is 2 s here.
+            assertEquals(List.of("E58000", "Z", "end"), messages(late, 'Z', 2));
+            assertTrue(stopped.await(3, TimeUnit.SECONDS));
+            assertTrue(System.nanoTime() - start < 2_700_000_000L);
+        }
+    }
+
+    private static byte[] query(String text) {
+        return ("Q\0\0" + (char) ((text.length() + 5) >> 8) + (char) ((text.length() + 5) & 255) + text + "\0")
+                .getBytes(ISO_8859_1);
+    }
 }
