Bound held reads by what clients can have open, and advise reads the longest time

Ruled out: CPU (2.8 s in 22 s), descriptors (287 of 384), memory. At fault: Router.hold, which held whatever came, and Router.advice, which sent reads back after their aim.

The module is told how many requests clients can have open (max_open; here a third of the descriptors) and holds 0.3 of that; beyond, the group that holds most gives up the read that would be served last. Reads are advised to come back after the longest time that clients heed.

--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -34,6 +35,8 @@
     /** Kept back from a deadline so that the final answer is out in time; share for what was never sent. */
     private static final long MARGIN = 15_000;
     private static final double UNTRIED = 0.49;
+    /** Part of the requests that clients can have open which may be held. */
+    private static final double HELD_PART = 0.3;
     /** Pace of shared probes for held reads, and of probes and write trials in a change of primary. */
     private static final long READ_PROBE_PACE = 60_000, CHANGE_PROBE_PACE = 150_000, SCOUT_PACE = 40_000;
     /** A replica of which nothing was heard for this long is probed, as far as the probe budget goes. */
@@ -468,6 +471,24 @@
         } else {
             queue.addLast(r);
         }
+        if (waitingCount > settings.limits().openMost() * HELD_PART) {
+            crowdOut();
+        }
+    }
+
+    /**
+     * Guards the other groups' requests: those held for one in trouble would take all that clients can have
+     * open. Of the group that holds most, the read that would be served last and is worth little late is given up.
+     */
+    private void crowdOut() {
+        Group g = Collections.max(groups.values(), Comparator.comparing(x -> x.held));
+        for (int i = order.size() - 1; i >= 0; i--) {
+            Pending last = g.waiting.get(order.get(i)).peekFirst();
+            if (last != null && !last.write() && last.kind.lateShare() < 0.5) {
+                giveUp(last);
+                return;
+            }
+        }
     }
 
     private void held(Group g, int change) {
@@ -506,7 +527,7 @@
 
     private long advice(Routing.RequestClass kind) {
         long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterMicros() : 0;
-        return Math.min(kind.access() == Routing.Access.WRITE ? 50_000 : kind.aimMicros(), most);
+        return Math.min(kind.access() == Routing.Access.WRITE ? 50_000 : Long.MAX_VALUE, most);
     }
 
     /** When a held request is no longer worth holding. */
--- a/src/main/java/lupinvalve/Routing.java
+++ b/src/main/java/lupinvalve/Routing.java
@@ -72,10 +72,15 @@
         }
     }
 
-    /** What the site allows. */
+    /**
+     * What the site allows.
+     *
+     * @param openMost how many requests clients can have open here at once
+     */
     public record Limits(int attempts, boolean parallelAttempts, boolean cancel, boolean probe, boolean retryAfter,
-            long maxRetryAfterMicros) {
+            long maxRetryAfterMicros, long openMost) {
         public Limits {
+            require(openMost > 0, "ceilings.max_open");
             require(attempts > 0, "ceilings.attempts_cap");
             require(maxRetryAfterMicros >= 0, "ceilings.max_retry_after_us");
         }
--- a/src/main/java/lupinvalve/config/NodeConfig.java
+++ b/src/main/java/lupinvalve/config/NodeConfig.java
@@ -66,7 +66,9 @@
         if (listen == null || site == null) {
             throw new IOException(file + ": " + (listen == null ? "listen" : "settings") + " is missing");
         }
-        return new NodeConfig(name, listen, discovery, seed, memory, sockets, known, site);
+        // Clients hold a third of the descriptors at most for requests.
+        return new NodeConfig(name, listen, discovery, seed, memory, sockets, known,
+                site.withOpen(Math.max(1, sockets / 3)));
     }
 
     private static long seed(String text) {
--- a/src/main/java/lupinvalve/wire/SettingsReader.java
+++ b/src/main/java/lupinvalve/wire/SettingsReader.java
@@ -16,7 +16,17 @@
      * @param connectMicros a connection not up within this time is given up
      * @param keepaliveMicros an idle connection is closed by the db node after this time
      */
-    public record Site(Routing.Settings settings, long connectMicros, long keepaliveMicros, List<String> zones) {}
+    public record Site(Routing.Settings settings, long connectMicros, long keepaliveMicros, List<String> zones) {
+        /** The same with at most so many requests open. */
+        public Site withOpen(long most) {
+            Routing.Settings s = settings;
+            Routing.Limits l = s.limits();
+            return new Site(new Routing.Settings(s.self(), s.routers(), s.zone(), s.mustSubscribe(), s.classes(),
+                    new Routing.Limits(l.attempts(), l.parallelAttempts(), l.cancel(), l.probe(), l.retryAfter(),
+                            l.maxRetryAfterMicros(), Math.min(l.openMost(), most)), s.rules(), s.replication()),
+                    connectMicros, keepaliveMicros, zones);
+        }
+    }
 
     /** Reads the settings object that the parser stands at. */
     public static Site read(JsonParser in) throws IOException {
@@ -38,7 +48,8 @@
                     classes(env, family),
                     new Routing.Limits((int) limits.whole("attempts_cap"), limits.flagOr("parallel_tries", false),
                             limits.flagOr("may_cancel", false), limits.flagOr("may_probe", false),
-                            limits.flagOr("retry_after", false), limits.wholeOr("max_retry_after_us", 0)),
+                            limits.flagOr("retry_after", false), limits.wholeOr("max_retry_after_us", 0),
+                            limits.wholeOr("max_open", Integer.MAX_VALUE)),
                     new Routing.Rules(rules.wholeOr("answer_slack_us", 0), rules.whole("stop_sending_within_us"),
                             rules.wholeOr("ask_within_us", 0), rules.number("cold_from"),
                             rules.whole("ramp_time_us"), rules.number("fall_multiple"), rules.whole("fall_us")),
--- a/src/test/java/lupinvalve/ExampleTest.java
+++ b/src/test/java/lupinvalve/ExampleTest.java
@@ -13,7 +13,7 @@
         Routing.RequestClass read = new Routing.RequestClass("read", Routing.Access.SESSION, 0, Routing.Effect.SAFE,
                 Routing.KeyScope.ALL, 0, 200_000, 800_000, 1, 0.2);
         Routing.Settings settings = new Routing.Settings(0, 1, 0, false, List.of(read),
-                new Routing.Limits(5, false, true, true, true, 1_000_000),
+                new Routing.Limits(5, false, true, true, true, 1_000_000, 10_000),
                 new Routing.Rules(5_000, 1_000_000, 10_000_000, 0.2, 10_000_000, 2, 1_500_000),
                 new Routing.Replication(Routing.FreshnessCheck.BOUNCE, 0, Routing.TokenSource.REMEMBERED));
         long seed = 42;
--- a/src/test/java/lupinvalve/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -44,7 +44,7 @@
                         kind("live", Access.STRONG, Effect.SAFE, 200 * MS),
                         kind("write", Access.WRITE, write, 500 * MS),
                         kind("report", Access.ANY, Effect.SAFE, 2000 * MS)),
-                new Routing.Limits(8, false, true, true, true, 1_000_000),
+                new Routing.Limits(8, false, true, true, true, 1_000_000, 10_000),
                 new Routing.Rules(8 * MS, 1000 * MS, 10_000 * MS, 0.2, 10_000 * MS, 2, 1500 * MS),
                 new Routing.Replication(check, 50 * MS, tokens));
     }
@@ -578,6 +578,26 @@
         assertNull(sentTo("w6"));
     }
 
+    @Test
+    void readsHeldForAGroupInTroubleDoNotTakeAllThatClientsCanHaveOpen() {
+        Routing.Settings s = settings(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.UNSAFE);
+        router = new Router(7, new Routing.Settings(0, 2, 0, true, s.classes(),
+                new Routing.Limits(8, false, true, true, true, 1_000_000, 20), s.rules(), s.replication()), now,
+                done::add);
+        list(ListForm.FULL, new Routing.Member("a", 1, 0, Health.DRAINING, false, 0));
+        for (int i = 0; i < 8; i++) {
+            request("r" + i, READ, null, 2000 * MS);
+            request("w" + i, WRITE, null, 2000 * MS);
+        }
+        // Six may be held: the reads go, the oldest first, since the newest is served first; the writes stay.
+        assertEquals(8, done.stream().filter(a -> a instanceof Routing.Refuse r && r.id().startsWith("r")).count());
+        assertEquals(0, done.stream().filter(a -> a instanceof Routing.Refuse r && r.id().startsWith("w")).count());
+        Routing.Refuse first = (Routing.Refuse) done.stream().filter(Routing.Refuse.class::isInstance).findFirst()
+                .orElseThrow();
+        assertEquals("r0", first.id());
+        assertEquals(1_000_000, first.retryAfterMicros());
+    }
+
     @Test
     void requestThatFailsAnywhereIsGivenUpAndBlamesNobody() {
         start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.KEYED);
@@ -740,7 +760,7 @@
     @Test
     void settingsOutOfRangeAreTurnedDownByName() {
         IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
-                () -> new Routing.Limits(0, false, true, true, true, 0));
+                () -> new Routing.Limits(0, false, true, true, true, 0, 1));
         assertTrue(e.getMessage().contains("attempts_cap"));
         assertThrows(IllegalArgumentException.class, () -> kind("x", Access.ANY, Effect.SAFE, -1));
     }
