--- /dev/null
+++ b/deploy/run.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Starts a pooler with a heap that fits the platform's limit on memory, which differs by day. All of the heap is touched
+# at the start, so that memory does not grow while the pooler serves; 72 MB are left for what is not heap.
+memory=$(sed -n 's/.*"memory_mb": *\([0-9][0-9]*\).*/\1/p' "$NODE_CONFIG" | head -n 1)
+heap=$((${memory:-128} - 72))
+[ "$heap" -ge 40 ] || heap=40
+[ "$heap" -le 112 ] || heap=112
+export MALLOC_ARENA_MAX=2
+exec java -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=12m \
+    -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
+    -XX:-UsePerfData -Djdk.nio.maxCachedBufferSize=65536 -jar target/lupinvalve.jar serve
--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -478,7 +478,7 @@
 
     /**
      * Guards the other groups' requests: those held for one in trouble would take all that clients can have
-     * open. Of the group that holds most, the read that would be served last and is worth little late is given up.
+     * open. Of the group that holds most, the read that would be served last goes if it is worth little late.
      */
     private void crowdOut() {
         Group g = Collections.max(groups.values(), Comparator.comparing(x -> x.held));
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -29,7 +29,9 @@
     }
 
     /** What a peer may leave unread before its connection is closed. */
-    private static final long UNREAD_MOST = 1 << 20;
+    private static final long UNREAD_MOST = 4 << 20;
+    /** From this size on bytes are handed to MINA as they are, not copied together with what stands beside them. */
+    private static final int LARGE = 16 << 10;
 
     /** Bytes of one connection that may wait for the core. */
     private static final int AHEAD_MOST = 256 << 10;
@@ -150,17 +152,36 @@
         for (byte[] part : parts) {
             size += part.length;
         }
-        IoBuffer buffer = IoBuffer.allocate(size);
-        for (byte[] part : parts) {
-            buffer.put(part);
-        }
-        buffer.flip();
         handed += size;
         if (session.getScheduledWriteBytes() > UNREAD_MOST) {
             session.closeNow();
             return;
         }
-        session.write(buffer);
+        // Small parts go out together: each write is a call to the system.
+        int from = 0;
+        for (int i = 0; i <= parts.length; i++) {
+            if (i == parts.length || parts[i].length >= LARGE) {
+                together(parts, from, i);
+                if (i < parts.length) {
+                    session.write(IoBuffer.wrap(parts[i]));
+                }
+                from = i + 1;
+            }
+        }
+    }
+
+    private void together(byte[][] parts, int from, int to) {
+        int size = 0;
+        for (int i = from; i < to; i++) {
+            size += parts[i].length;
+        }
+        if (size > 0) {
+            IoBuffer buffer = IoBuffer.allocate(size);
+            for (int i = from; i < to; i++) {
+                buffer.put(parts[i]);
+            }
+            session.write(buffer.flip());
+        }
     }
 
     /** Whether bytes have come behind the messages that are being told. */
--- a/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/src/main/java/lupinvalve/pg/PgBackend.java
@@ -1,7 +1,8 @@
 package lupinvalve.pg;
 
-import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import lupinvalve.Routing;
 import lupinvalve.Routing.Ending;
 import lupinvalve.core.Pooler;
@@ -14,8 +15,8 @@
 
 /** Speaks PostgreSQL's protocol to db nodes: simple queries only. */
 public final class PgBackend extends Pool {
-    /** Values have 64 KiB at most. */
-    private static final int ROW_MOST = 72 << 10, ANSWER_MOST = 96 << 10;
+    /** Values have been seen with 400 KB; what is longer than 1 MiB is taken for spoilt. */
+    private static final int ROW_MOST = 1 << 20, ANSWER_MOST = ROW_MOST + (32 << 10);
     private static final byte[] PROBE = PgMessages.texts('Q', "SHOW vitals");
     private final byte[] startup;
 
@@ -28,7 +29,7 @@
     private enum At { START, HEAD, ROW, COMPLETE, FAILED }
 
     private static final class PgConn extends Conn {
-        private final ByteArrayOutputStream answer = new ByteArrayOutputStream(256);
+        private List<byte[]> answer = new ArrayList<>(3);
         private At at = At.START;
         private int size;
         private Ending error;
@@ -59,7 +60,7 @@
     @Override
     protected void start(Conn conn) {
         PgConn c = (PgConn) conn;
-        c.answer.reset();
+        c.answer = new ArrayList<>(3);
         c.at = At.START;
         c.size = 0;
         c.error = null;
@@ -118,9 +119,9 @@
         c.at = next;
         switch (message[0]) {
             case 'S' -> status(c, message);
-            case 'T', 'C' -> c.answer.writeBytes(message);
+            case 'T', 'C' -> c.answer.add(message);
             case 'D' -> {
-                c.answer.writeBytes(message);
+                c.answer.add(message);
                 c.row = message;
             }
             case 'E' -> c.error = ending(message);
@@ -171,7 +172,10 @@
             return;
         }
         Ending ending = c.error != null ? c.error : c.row != null ? Ending.SERVED : Ending.ERROR;
-        done(c, true, ending, ending == Ending.SERVED ? c.answer.toByteArray() : null, c.position, c.role);
+        byte[][] answer = ending == Ending.SERVED ? c.answer.toArray(new byte[0][]) : null;
+        c.answer = new ArrayList<>(3);
+        c.row = null;
+        done(c, true, ending, answer, c.position, c.role);
     }
 
     /** The report's one row: {@code x0=seconds,x1=0}. */
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -15,8 +15,8 @@
 /** Speaks PostgreSQL's protocol to clients: simple queries, pipelined or not, answered in order. Core thread only. */
 public final class PgFront implements Front, Link.Events {
     public static final String PROTOCOL = "pg";
-    /** Values of 64 KiB are 128 KiB as hexadecimal digits. */
-    private static final int MESSAGE_MOST = 160 << 10;
+    /** Values have been seen with 400 KB, which are 800 KB as hexadecimal digits. */
+    private static final int MESSAGE_MOST = 1 << 20;
     private static final int PIPELINED_MOST = 64;
     /** Bytes of all statements that wait for their answers. */
     private static final long WAITING_MOST = 8 << 20;
@@ -249,7 +249,7 @@
 
     @Override
     public void served(long ticket, Object answer, long position, Routing.Role role) {
-        settle(ticket, (byte[]) answer);
+        settle(ticket, (byte[][]) answer);
     }
 
     @Override
@@ -262,11 +262,12 @@
         settle(ticket, PgMessages.error("ERROR", "58000", "failed: it may have run", null));
     }
 
-    private void settle(long ticket, byte[] bytes) {
+    private void settle(long ticket, byte[]... bytes) {
         Reply reply = replies.free(ticket);
         if (reply != null) {
             waiting -= reply.size;
-            reply.bytes = new byte[][] {bytes, PgMessages.READY};
+            reply.bytes = Arrays.copyOf(bytes, bytes.length + 1);
+            reply.bytes[bytes.length] = PgMessages.READY;
             flush(reply.client);
         }
     }
--- a/src/test/java/lupinvalve/stories/DbNode.java
+++ b/src/test/java/lupinvalve/stories/DbNode.java
@@ -26,6 +26,7 @@
     public volatile boolean primary;
     public volatile LongSupplier asOf = System::currentTimeMillis;
     public final ConcurrentLinkedQueue<Makes> script = new ConcurrentLinkedQueue<>();
+    public volatile String value = "value";
     /** What comes in place of an answer that is SPOILT, or behind one with MORE. */
     public volatile byte[] strange = {};
     /** Statements as they came, and how often each request has run. */
@@ -139,7 +140,7 @@
             }
             Makes makes = decide(statement, fields(statement));
             switch (makes) {
-                case SERVED, MORE -> row(out, "value");
+                case SERVED, MORE -> row(out, value);
                 case SPOILT -> {
                     out.write(strange);
                     out.flush();
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -153,6 +153,19 @@
         assertTrue(System.nanoTime() - start < 3_000_000_000L);
     }
 
+    @Test
+    void values_of_hundreds_of_kilobytes_pass_both_ways() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        DbNode replica = new DbNode("s-2", false);
+        replica.value = "w".repeat(400_000);
+        try (World world = calm(primary, replica); Connection client = world.pg()) {
+            assertEquals(replica.value, end(client, read("l1", 1900)));
+            String long800 = booking("l2", 1900).replace("9f", "9f".repeat(400_000));
+            assertEquals("value", end(client, long800));
+            assertEquals(long800.length(), primary.seen.get(0).length(), 4);
+        }
+    }
+
     /** A message of a db node, its length as told, which may be wrong. */
     static String message(char type, int length, String body) {
         return type + "" + (char) (length >> 24 & 255) + (char) (length >> 16 & 255) + (char) (length >> 8 & 255)
