Trust resting connections as long as they hold, and don't take idle members for restarted

A dump of the module's view shows the new primary, out 0, with 21 writes held: it had lost two connections, was idle for over a second, answered and was taken for restarted, so it earned writes a few at a time. At fault: Pool.take, which trusted any connection of up to 10.5 s; Router.answered, which measured from the first failure to the next answer however long nothing was asked.

Pool.Trust cuts the rest it allows when a connection is lost after one and raises it when one serves. The module takes a member for restarted if connections, probes included, went on failing for over a second.

--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -297,6 +297,7 @@
             // Probes may fail while a member serves: a failed one ejects nobody, but makes the next one rarer
             // and, for a member that service has ejected, the trial later.
             n.probeFails++;
+            n.brokenLast = p.ending() == Routing.Ending.NOT_CONNECTED ? now : n.brokenLast;
             if (n.strikes > 0 && !n.onTrial) {
                 strike(n);
             }
@@ -313,8 +314,9 @@
     }
 
     /**
-     * Guards members that refused connections for a while: they may have restarted, so are taken for cold.
-     * Those that serve sooner had their tables full: idle connections are closed earlier.
+     * Guards members that went on refusing connections for a while: they may have restarted, so are taken for
+     * cold. Those that serve sooner had their tables full: idle connections are closed earlier. How long
+     * nothing was asked of them tells nothing: who lost one connection is not cold for that.
      */
     private void answered(Node n) {
         n.answeredAt = now;
@@ -322,7 +324,7 @@
         n.broken = 0;
         n.probeFails = Math.min(n.probeFails, PROBES_PER_TRIAL);
         if (n.brokenSince != Long.MIN_VALUE) {
-            if (now - n.brokenSince > RESTART_LEAST) {
+            if (n.brokenLast - n.brokenSince > RESTART_LEAST) {
                 chill(n, now);
             } else {
                 idleKeep = Math.max(IDLE_LEAST, idleKeep * IDLE_CUT);
@@ -808,6 +810,7 @@
                 }
                 n.connected = false;
                 n.brokenSince = n.brokenSince == Long.MIN_VALUE ? now : n.brokenSince;
+                n.brokenLast = now;
                 n.probeFails = 0;
                 strike(n);
             }
--- a/src/main/java/lupinvalve/State.java
+++ b/src/main/java/lupinvalve/State.java
@@ -61,10 +61,10 @@
         double limit;
         long answeredAt = Long.MIN_VALUE / 2, fullUntil = Long.MIN_VALUE;
         // Health: error share, silent time-outs, connections broken since it last answered, ejections, whether a trial
-        // is due, when connections began to fail.
+        // is due, when connections began to fail and last did.
         double errors;
         int silent, broken, strikes, probeFails;
-        long ejectedUntil = Long.MIN_VALUE, brokenSince = Long.MIN_VALUE;
+        long ejectedUntil = Long.MIN_VALUE, brokenSince = Long.MIN_VALUE, brokenLast;
         boolean onTrial;
         // Warm-up: when it began, and the work earned and spent since.
         long coldSince = Long.MIN_VALUE;
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -54,6 +54,8 @@
         private boolean greeted, started, more;
         private Job job;
         private long before, through;
+        /** When it began to rest, and how long it had rested before its job; 0 where it is new. */
+        private long restAt, rested;
         private Deadlines.Deadline limit;
 
         protected Conn(String node) {
@@ -69,6 +71,35 @@
         }
     }
 
+    /**
+     * How long a connection may have rested to be trusted with a request. Guards against db nodes that drop resting
+     * connections sooner than they say, and without a word: the next request on one ends as a reset. One lost after a
+     * rest cuts it, one that serves after a rest like it raises it, so that it settles where about one in six is lost.
+     */
+    private static final class Trust {
+        private static final long LEAST = 40_000;
+        private static final double CUT = 0.7, RAISE = 1.08;
+        private final long most;
+        private long micros;
+
+        Trust(long most) {
+            this.most = most;
+            micros = most;
+        }
+
+        void lost(long rested) {
+            if (rested >= LEAST) {
+                micros = Math.max(LEAST, Math.min(micros, (long) (rested * CUT)));
+            }
+        }
+
+        void kept(long rested) {
+            if (rested > micros / 2) {
+                micros = Math.min(most, (long) (micros * RAISE));
+            }
+        }
+    }
+
     /** Bounds of a pool. */
     public record Bounds(int connections, long connectMicros, long idleMicros, long probeMicros) {}
 
@@ -79,6 +110,7 @@
     private final Slots<Conn> conns;
     private final Map<String, ArrayDeque<Conn>> idle = new HashMap<>();
     private final Map<Long, Conn> byAttempt = new HashMap<>();
+    private final Trust trust;
 
     protected Pool(Net net, Pooler pooler, Bounds bounds) {
         this.net = net;
@@ -86,6 +118,7 @@
         this.bounds = bounds;
         loop = pooler.loop();
         conns = new Slots<>(bounds.connections());
+        trust = new Trust(bounds.idleMicros());
     }
 
     // ---- what a protocol adds ----
@@ -134,6 +167,7 @@
     protected final void done(Conn conn, boolean reusable, Ending ending, Object answer, long position,
             Routing.Role role) {
         Job job = conn.job;
+        trust.kept(conn.rested);
         release(conn);
         if (reusable && !conn.more) {
             rest(conn);
@@ -168,7 +202,15 @@
     private void take(Job job, String address) {
         ArrayDeque<Conn> resting = idle.get(job.node);
         // The one used last: the others may reach their idle time and be closed.
-        Conn conn = resting == null ? null : resting.pollLast();
+        Conn conn = resting == null ? null : resting.peekLast();
+        if (conn != null && loop.now() - conn.restAt > trust.micros) {
+            // The others have rested longer still.
+            closeIdle(job.node);
+            conn = null;
+        } else if (conn != null) {
+            resting.pollLast();
+            conn.rested = loop.now() - conn.restAt;
+        }
         if (conn == null) {
             conn = open(job, address);
         }
@@ -283,6 +325,7 @@
     private void rest(Conn conn) {
         ArrayDeque<Conn> resting = idle.computeIfAbsent(conn.node, n -> new ArrayDeque<>());
         resting.addLast(conn);
+        conn.restAt = loop.now();
         conn.limit = loop.after(bounds.idleMicros(), () -> {
             forget(conn);
             conn.link.drop();
@@ -309,6 +352,9 @@
             return;
         }
         Ending known = known(conn);
+        if (left) {
+            trust.lost(conn.rested);
+        }
         // An error in the greeting is no word on the request: that has not left.
         Ending ending = known != null && (left || known.neverRan) ? known
                 : left ? Ending.BROKEN : Ending.NOT_CONNECTED;
--- a/src/test/java/lupinvalve/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -598,6 +598,26 @@
         assertEquals(1_000_000, first.retryAfterMicros());
     }
 
+    @Test
+    void aMemberThatLostConnectionsAndThenHadNothingToDoIsNotTakenForRestarted() {
+        start(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.UNSAFE);
+        known();
+        for (String id : List.of("x1", "x2")) {
+            request(id, WRITE, "s", 2000 * MS);
+        }
+        outcome("x1", 0, "a", Ending.BROKEN, Routing.NO_POSITION, Role.UNKNOWN);
+        outcome("x2", 0, "a", Ending.BROKEN, Routing.NO_POSITION, Role.UNKNOWN);
+        pass(3000 * MS);
+        probed("a", now, Role.PRIMARY);
+        request("x3", WRITE, "s", 2000 * MS);
+        outcome("x3", 0, "a", Ending.SERVED, now, Role.PRIMARY);
+        // A cold member earns a few at a time.
+        for (int i = 0; i < 10; i++) {
+            request("y" + i, WRITE, "s", 2000 * MS);
+            assertEquals("a", sentTo("y" + i));
+        }
+    }
+
     @Test
     void requestThatFailsAnywhereIsGivenUpAndBlamesNobody() {
         start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.KEYED);
--- a/src/test/java/lupinvalve/stories/DbNode.java
+++ b/src/test/java/lupinvalve/stories/DbNode.java
@@ -27,6 +27,9 @@
     public volatile LongSupplier asOf = System::currentTimeMillis;
     public final ConcurrentLinkedQueue<Makes> script = new ConcurrentLinkedQueue<>();
     public volatile String value = "value";
+    /** Connections that have rested longer are dropped without a word, as the next request on them finds out. */
+    public volatile long dropsAfterNanos = Long.MAX_VALUE;
+    public volatile long restsSince = System.nanoTime();
     /** What comes in place of an answer that is SPOILT, or behind one with MORE. */
     public volatile byte[] strange = {};
     /** Statements as they came, and how often each request has run. */
@@ -127,8 +130,9 @@
         message(out, 'R', new byte[4]);
         ready(out);
         while (true) {
+            restsSince = System.nanoTime();
             int type = in.read();
-            if (type != 'Q') {
+            if (type != 'Q' || System.nanoTime() - restsSince > dropsAfterNanos) {
                 return;
             }
             byte[] body = in.readNBytes(in.readInt() - 4);
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -166,6 +166,21 @@
         }
     }
 
+    @Test
+    void connections_are_trusted_only_as_long_as_db_nodes_keep_them() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        primary.dropsAfterNanos = 100_000_000L;
+        try (World world = calm(primary, new DbNode("s-2", false)); Connection client = world.pg()) {
+            List<String> ends = new ArrayList<>();
+            for (int id = 0; id < 3; id++) {
+                ends.add(end(client, booking("r" + id, 900)));
+                World.await("rested", () -> System.nanoTime() - primary.restsSince > 150_000_000L);
+            }
+            // The second was lost with a connection that had rested too long; the third went out on a new one.
+            assertEquals(List.of("value", "58000", "value"), ends);
+        }
+    }
+
     /** A message of a db node, its length as told, which may be wrong. */
     static String message(char type, int length, String body) {
         return type + "" + (char) (length >> 24 & 255) + (char) (length >> 16 & 255) + (char) (length >> 8 & 255)
