Close resting connections when clients have few left of those they are allowed

Probes in the front: until 3.9 s some 300 requests a second come on kept connections, from then on 40 to 86 on new ones only, each of which asks once and stays; 367 of them were closed at an age of 2 s. 128 connections, a third of the descriptors, closed after 2 s each make 64 requests a second. 1400 strangers that say nothing or ask for nothing fill the table besides. At fault: Spare.makeRoom, which looked at the front's own table and never at what clients are allowed.

With three quarters of the third in use, connections that have rested 0.1 s are closed, the longest first, also by a deadline, as nothing may happen any more. PROTOCOL lets a pooler close a connection between requests; LATER's 2 s stay the rule while there is room.

--- a/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -86,7 +86,7 @@
         this.user = user;
         this.password = password;
         clients = new Slots<>(clientsMost);
-        spare = new Spare<>(pooler.loop(), this::end);
+        spare = new Spare<>(pooler.loop(), clients, pooler.settings().limits().openMost(), this::end);
     }
 
     /** Changes the account; those logged in stay. */
@@ -103,7 +103,7 @@
 
     @Override
     public void opened(Link link) {
-        spare.makeRoom(clients);
+        spare.makeRoom();
         if (clients.full() || closing) {
             link.write(new Out().int1(0xFF).fixed(1040, 2).text("Too many connections").packet(0));
             link.finish();
--- a/src/main/java/lupinvalve/net/Spare.java
+++ b/src/main/java/lupinvalve/net/Spare.java
@@ -14,18 +14,26 @@
  * only.
  */
 public final class Spare<C> {
-    /** From this age on a connection without an open request may be closed. */
-    private static final long REST = 2_000_000;
+    /** From this rest on a connection may be closed so that room does not run out, and from this one if it has. */
+    private static final long REST = 2_000_000, REST_LEAST = 100_000;
     /** A connection must bring its first whole command in this time: strangers are owed an end within 3 s. */
     private static final long FIRST_COMMAND = 2_600_000;
     private final Loop loop;
+    private final Slots<C> clients;
+    private final long allowed;
     private final Consumer<C> close;
     private final Map<C, Deadlines.Deadline> silent = new LinkedHashMap<>();
     private final Map<C, Long> resting = new LinkedHashMap<>();
+    private Deadlines.Deadline again;
 
-    /** @param close ends a connection and calls {@link #gone} */
-    public Spare(Loop loop, Consumer<C> close) {
+    /**
+     * @param allowed connections that clients can have for requests, whatever the table holds
+     * @param close ends a connection and calls {@link #gone}
+     */
+    public Spare(Loop loop, Slots<C> clients, long allowed, Consumer<C> close) {
         this.loop = loop;
+        this.clients = clients;
+        this.allowed = allowed;
         this.close = close;
     }
 
@@ -45,6 +53,7 @@
         if (!silent.containsKey(client)) {
             resting.remove(client);
             resting.put(client, loop.now());
+            makeRoom();
         }
     }
 
@@ -52,19 +61,41 @@
         busy(client);
     }
 
-    /** Closes what may be closed, the oldest first, until a quarter of the table is free; a silent one if it is full. */
-    public void makeRoom(Slots<C> clients) {
-        long rested = loop.now() - REST;
-        C oldest = first(resting);
-        while (clients.crowded() && oldest != null && resting.get(oldest) <= rested) {
-            close.accept(oldest);
-            oldest = first(resting);
+    /**
+     * Closes what may be closed, the oldest first, until a quarter of the table is free, and a quarter of what
+     * clients are allowed: one that has none left can't ask, though this table has room. If the table is full one
+     * silent connection goes, or else the one that rests longest: its client opens another when it asks again, while
+     * a newcomer turned away has asked already.
+     */
+    public void makeRoom() {
+        while (clients.crowded() && rested(REST)) {
+            close.accept(first(resting));
+        }
+        while (scarce() && rested(REST_LEAST)) {
+            close.accept(first(resting));
+        }
+        if (scarce() && !resting.isEmpty() && again == null) {
+            // Nothing may happen from now on: clients that have no connection left can't ask.
+            again = loop.after(REST_LEAST, () -> {
+                again = null;
+                makeRoom();
+            });
         }
         if (clients.full() && !silent.isEmpty()) {
             close.accept(first(silent));
+        } else if (clients.full() && rested(REST_LEAST)) {
+            close.accept(first(resting));
         }
     }
 
+    private boolean scarce() {
+        return (clients.size() - silent.size()) * 4L > allowed * 3;
+    }
+
+    private boolean rested(long micros) {
+        return !resting.isEmpty() && resting.get(first(resting)) <= loop.now() - micros;
+    }
+
     private static <C> C first(Map<C, ?> from) {
         Iterator<C> all = from.keySet().iterator();
         return all.hasNext() ? all.next() : null;
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -59,7 +59,7 @@
     public PgFront(Pooler pooler, int clientsMost) {
         this.pooler = pooler;
         clients = new Slots<>(clientsMost);
-        spare = new Spare<>(pooler.loop(), this::end);
+        spare = new Spare<>(pooler.loop(), clients, pooler.settings().limits().openMost(), this::end);
         replies = new Slots<>(clientsMost * 8);
     }
 
@@ -75,7 +75,7 @@
             link.drop();
             return;
         }
-        spare.makeRoom(clients);
+        spare.makeRoom();
         if (clients.full()) {
             // Answered once it has spoken: closing on unread bytes would reset the connection before the answer.
             if (++extra > EXTRA_MOST) {
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -53,6 +53,22 @@
         }
     }
 
+    @Test
+    void clients_that_keep_all_the_connections_they_may_have_get_some_closed() throws Exception {
+        // Of 64 sockets clients may have a third: with all of these kept nobody could ask, though the table has room.
+        try (World world = new World(64, OperatorConfig.NONE, new DbNode("s-1", true))) {
+            List<Socket> kept = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                kept.add(world.raw(""));
+                messages(kept.get(i), 'Z', 2);
+            }
+            assertEquals(List.of("end"), messages(kept.get(0), 'Z', 1));
+            for (Socket socket : kept) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     void silent_connections_give_way_and_end_within_three_seconds() throws Exception {
         try (World world = new World(64, OperatorConfig.NONE, new DbNode("s-1", true))) {
