Forget db nodes that have left, in the module and in the pool

At fault: Router.onMembers, which took members in and never out, and even made one of a name first heard as gone; Pool.forget, which left an empty queue for each db node.

A member that is gone is forgotten after 5 s, once nothing is out at it.

--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -49,6 +49,8 @@
     private static final double PATIENCE = 4;
     private static final long EJECT_FIRST = 200_000;
     private static final int EJECT_DOUBLINGS = 4, PROBES_PER_TRIAL = 2, TOKENS = 50_000;
+    /** How long a member that is gone is remembered, should the list name it again or a probe still end. */
+    private static final long GONE_KEPT = 5_000_000;
     private static final long ASK_FIRST = 250_000, FULL_PAUSE = 40_000;
     /** Part of the multiple a cold member may bear that it is given, and the requests it may save up for. */
     private static final double COLD_PART = 0.55, COLD_BURST = 3;
@@ -178,6 +180,9 @@
         boolean whole = news.form() != Routing.ListForm.UPDATE;
         List<Node> unnamed = whole ? new ArrayList<>(nodes.values()) : new ArrayList<>();
         for (Routing.Member m : news.members()) {
+            if (m.health() == Routing.Health.GONE && !nodes.containsKey(m.node())) {
+                continue;
+            }
             Node n = nodes.computeIfAbsent(m.node(), id -> new Node(id, startLimit, gauge(), gauge()));
             if (n.group == null) {
                 adopt(n, m);
@@ -869,7 +874,8 @@
             }
             expire(g);
             dispatch(g);
-            if (!ready(g.primary, true) && wanted(g) && now >= g.changeProbeAt) {
+            boolean asks = !g.members.isEmpty() && wanted(g);
+            if (asks && !ready(g.primary, true) && now >= g.changeProbeAt) {
                 // One member at a time, the faster the more is held, as every router does the same.
                 long pace = CHANGE_PROBE_PACE / Math.min(g.held, g.members.size());
                 g.changeProbeAt = now + pace + random.nextLong(pace / 4 + 1);
@@ -889,6 +895,7 @@
 
     private void tickMembers() {
         idleKeep = Math.min(IDLE_MOST, idleKeep * IDLE_GROW);
+        nodes.values().removeIf(this::forgotten);
         for (Node n : nodes.values()) {
             if (n.connected && n.out.isEmpty() && now - n.usedAt > idleKeep) {
                 closeIdle(n);
@@ -906,6 +913,20 @@
         }
     }
 
+    /** How many members are remembered. */
+    int members() {
+        return nodes.size();
+    }
+
+    /** Each deploy brings new ids: members that have left, and have nothing out, must not pile up. */
+    private boolean forgotten(Node n) {
+        boolean over = n.health == Routing.Health.GONE && n.out.isEmpty() && now > n.toldLeaving + GONE_KEPT;
+        if (over) {
+            n.group.members.remove(n);
+        }
+        return over;
+    }
+
     /** Whether anything that only a primary can answer is held. */
     private boolean wanted(Group g) {
         return g.waiting.stream().anyMatch(q -> !q.isEmpty() && (q.peek().write()
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -335,7 +335,10 @@
     private void forget(Conn conn) {
         conns.free(conn.slot);
         ArrayDeque<Conn> resting = idle.get(conn.node);
-        if (resting != null) {
+        if (resting != null && resting.isEmpty()) {
+            // Db nodes that have left leave nothing behind.
+            idle.remove(conn.node);
+        } else if (resting != null) {
             for (Iterator<Conn> it = resting.iterator(); it.hasNext();) {
                 if (it.next() == conn) {
                     it.remove();
--- a/src/test/java/lupinvalve/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -618,6 +618,34 @@
         }
     }
 
+    @Test
+    void membersThatHaveLeftAreForgottenOnceNothingIsOutAtThem() {
+        start(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.UNSAFE);
+        known();
+        request("w", WRITE, "s", 60_000 * MS);
+        for (int i = 0; i < 50; i++) {
+            list(ListForm.UPDATE, live("n" + i, false));
+            list(ListForm.UPDATE, new Routing.Member("n" + i, 1, 0, Health.GONE, false, 0),
+                    new Routing.Member("never" + i, 1, 0, Health.GONE, false, 0));
+        }
+        list(ListForm.UPDATE, new Routing.Member("a", 1, 0, Health.GONE, false, 0));
+        pass(6000 * MS);
+        // b, c and a, at which the write is still out.
+        assertEquals(3, router.members());
+        outcome("w", 0, "a", Ending.BROKEN, Routing.NO_POSITION, Role.UNKNOWN);
+        pass(200 * MS);
+        assertEquals(2, router.members());
+        // A group all of whose members have left still answers.
+        list(ListForm.FULL);
+        pass(6000 * MS);
+        assertEquals(0, router.members());
+        request("r", READ, null, 2000 * MS);
+        request("v", WRITE, "s", 2000 * MS);
+        pass(2000 * MS);
+        assertEquals(1, refusals("r"));
+        assertEquals(1, refusals("v"));
+    }
+
     @Test
     void requestThatFailsAnywhereIsGivenUpAndBlamesNobody() {
         start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.KEYED);
