Turn down a new discovery that is no literal address, and say what is left

Seen by reading: Reload took over "nowhere:8500", which Addresses.parse leaves unresolved, so that every call from then on would have failed at once while the good address was gone. At fault: Daemon.reconfigure. The story of the hang-up now covers a half file, an empty one and such an address.

--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -128,6 +128,9 @@
         OperatorConfig.DnsSd place = nextOperator.dnsSd();
         InetSocketAddress at = http != null && next.discovery() != null ? Addresses.parse(next.discovery()) : null;
         InetSocketAddress resolver = dns != null && place != null ? Addresses.parse(place.resolver()) : null;
+        if (at != null && at.isUnresolved() || resolver != null && resolver.isUnresolved()) {
+            throw new IllegalArgumentException("not a literal address: " + (at != null ? at : resolver));
+        }
         if (!next.site().equals(config.site()) || !next.listen().equals(config.listen())
                 || next.sockets() != config.sockets() || next.memoryMb() != config.memoryMb()) {
             Log.warn("configuration: settings, limits and listen hold from the next start");
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -264,9 +264,12 @@
                 AtomicInteger watching = new AtomicInteger();
                 World.thread(() -> world.answer(watch, watching));
                 World.await("watching", () -> watching.get() == 1);
-                Files.writeString(file, "{\"discovery\":");
-                hangUp(served);
-                until(log, "the old one stays");
+                for (String bad : List.of("{\"discovery\":", "{}", world.config(second, 1024)
+                        .replace("127.0.0.1:" + second.getLocalPort(), "nowhere:8500"))) {
+                    Files.writeString(file, bad);
+                    hangUp(served);
+                    until(log, "the old one stays");
+                }
                 Files.writeString(file, world.config(second, 1024));
                 hangUp(served);
                 until(log, "discovery is at");
