Close a connection whose db node left while it was busy

Seen: on one core PlatformTest.nothing_new_goes_to_a_draining_db_node failed once, "not in 10 s: told": a connection to the db node that had left was still open. Reading Pool shows one way to that: closeIdle ends what rests when the news comes; a connection busy with a probe or an attempt just then rests afterwards, for up to 10.5 s. At fault: Pool.rest. It now asks whether the list still names the db node. The new story makes that happen each time.

--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -230,6 +230,11 @@
         lastAnswer = atMicros;
     }
 
+    /** Whether the list names the db node, and not as gone. */
+    public boolean lists(String node) {
+        return addresses.containsKey(node);
+    }
+
     public int open() {
         return requests.size();
     }
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -323,6 +323,12 @@
     }
 
     private void rest(Conn conn) {
+        if (!pooler.lists(conn.node)) {
+            // It left while this connection was busy: nobody would use or close it until its time is up.
+            forget(conn);
+            conn.link.drop();
+            return;
+        }
         ArrayDeque<Conn> resting = idle.computeIfAbsent(conn.node, n -> new ArrayDeque<>());
         resting.addLast(conn);
         conn.restAt = loop.now();
--- a/src/test/java/lupinvalve/stories/DbNode.java
+++ b/src/test/java/lupinvalve/stories/DbNode.java
@@ -27,6 +27,8 @@
     public volatile LongSupplier asOf = System::currentTimeMillis;
     public final ConcurrentLinkedQueue<Makes> script = new ConcurrentLinkedQueue<>();
     public volatile String value = "value";
+    /** Answers wait for it. */
+    public volatile java.util.concurrent.CountDownLatch hold = new java.util.concurrent.CountDownLatch(0);
     /** Connections that have rested longer are dropped without a word, as the next request on them finds out. */
     public volatile long dropsAfterNanos = Long.MAX_VALUE;
     public volatile long restsSince = System.nanoTime();
@@ -143,6 +145,7 @@
                 continue;
             }
             Makes makes = decide(statement, fields(statement));
+            World.hold(hold);
             switch (makes) {
                 case SERVED, MORE -> row(out, value);
                 case SPOILT -> {
--- a/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -20,8 +20,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.sql.Connection;
+import java.sql.SQLException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -197,6 +199,32 @@
         }
     }
 
+    @Test
+    void a_connection_that_was_busy_when_its_db_node_left_is_closed_with_its_answer() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        primary.hold = new CountDownLatch(1);
+        try (World world = calm(primary, new DbNode("s-2", false)); Socket client = world.raw(booking("z1", 2000))) {
+            World.await("out", () -> primary.runs.containsKey("z1"));
+            World.await("watching", () -> world.watches.get() > 0);
+            world.phase(primary, "terminated");
+            try (Connection other = world.pg()) {
+                // Once the news is there no booking goes out any more.
+                World.await("told", () -> {
+                    try {
+                        int before = primary.seen.size();
+                        return "53300".equals(end(other, booking("q" + System.nanoTime(), 100)))
+                                && primary.seen.size() == before;
+                    } catch (SQLException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+            }
+            primary.hold.countDown();
+            messages(client, 'Z', 2);
+            World.await("closed", () -> primary.open.get() == 0);
+        }
+    }
+
     /** A message of a db node, its length as told, which may be wrong. */
     static String message(char type, int length, String body) {
         return type + "" + (char) (length >> 24 & 255) + (char) (length >> 16 & 255) + (char) (length >> 8 & 255)
--- a/src/test/java/lupinvalve/stories/World.java
+++ b/src/test/java/lupinvalve/stories/World.java
@@ -92,6 +92,14 @@
         thread.start();
     }
 
+    static void hold(java.util.concurrent.CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     /** Waits until something holds. */
     public static void await(String what, BooleanSupplier holds) throws InterruptedException {
         long end = System.nanoTime() + 10_000_000_000L;
