End no connection by choice while a request that was read on it waits for the core

Cause: a trace in Link.received's posted task paired each dropped message with the call that had ended its connection. Every request of a client came by Spare.ease (then makeRoom) > PgFront.end > Link.finish, and had been read 26 to 410 ms before that end: the core was half a second behind, so its tables showed connections as resting whose requests were framed and waiting in its queue. Ruled out: bytes read between closeOnFlush and the close (no message was framed after its end), the table's bound and SIGTERM (no such call in the trace; both have the same hole). Messages dropped on connections to db nodes were greetings after the connect time-out, which is right.

Change: Link.retire bars reading under the connection's gate, which MINA's processor takes for each read, and goes on if anything was read that the core has not been told. The MySQL front answers commands that wait behind another before the program ends. Newcomers past the bound are told so whatever the core had been told; a newcomer that logs in is no longer thrown out by another's rest.

--- a/src/main/java/lupinvalve/core/Loop.java
+++ b/src/main/java/lupinvalve/core/Loop.java
@@ -9,11 +9,13 @@
  * none of them needs a lock.
  */
 public final class Loop {
+    private static final long WINDOW = 500_000;
     private final LinkedBlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Thread thread = new Thread(this::run, "core");
     private volatile boolean stopped;
+    private long longestWait, waits, waitsSince;
 
     public void start() {
         thread.setDaemon(true);
@@ -34,6 +36,18 @@
         return clock.micros();
     }
 
+    /** Tells how long something that came in waited for this thread, which is how far it is behind. */
+    public void waited(long micros) {
+        longestWait = Math.max(longestWait, micros);
+        waits++;
+        if (Log.debugs() && now() - waitsSince > WINDOW) {
+            Log.debug("loop delay: %d us at most, of %d arrivals", longestWait, waits);
+            longestWait = 0;
+            waits = 0;
+            waitsSince = now();
+        }
+    }
+
     /** Runs {@code then} after so many microseconds; core thread only. */
     public Deadlines.Deadline after(long micros, Runnable then) {
         return deadlines.at(now() + Math.max(0, micros), then);
--- a/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -33,6 +33,9 @@
     private static final long OFFERED = Protocol.LONG_PASSWORD | Protocol.FOUND_ROWS | Protocol.CONNECT_WITH_DB
             | Protocol.PROTOCOL_41 | Protocol.TRANSACTIONS | Protocol.SECURE_CONNECTION | Protocol.PLUGIN_AUTH
             | Protocol.LENENC_AUTH | Protocol.SESSION_TRACK | Protocol.DEPRECATE_EOF | Protocol.QUERY_ATTRIBUTES;
+    private static final long AGAIN = 20_000;
+    /** Once the program ends, a client has so long to go on with what it has begun to send, or to read. */
+    private static final long LAST_PATIENCE = 300_000;
     private static final int REFUSED = 1226, FAILED = 1105;
     private final Pooler pooler;
     private String user, password;
@@ -86,7 +89,7 @@
         this.user = user;
         this.password = password;
         clients = new Slots<>(clientsMost);
-        spare = new Spare<>(pooler.loop(), clients, pooler.settings().limits().openMost(), this::end);
+        spare = new Spare<>(pooler.loop(), clients, pooler.settings().limits().openMost(), this::retire);
     }
 
     /** Changes the account; those logged in stay. */
@@ -151,6 +154,15 @@
         }
     }
 
+    /** Ends a connection on which nothing is due, unless its client has begun to use it. */
+    private boolean retire(Client client, long patience) {
+        boolean ended = !client.busy && client.waiting.isEmpty() && client.link.retire(patience);
+        if (ended) {
+            forget(client);
+        }
+        return ended;
+    }
+
     @Override
     public void malformed(Link link, String why) {
         Client client = byLink.get(link);
@@ -460,10 +472,6 @@
     private void next(Client client) {
         client.busy = false;
         client.request = -1;
-        if (closing) {
-            end(client);
-            return;
-        }
         try {
             while (!client.busy && !client.waiting.isEmpty() && clients.get(client.slot) == client) {
                 Command command = client.waiting.poll();
@@ -477,19 +485,27 @@
     }
 
     private void rest(Client client) {
-        if (!client.busy && clients.get(client.slot) == client) {
+        if (client.busy || clients.get(client.slot) != client) {
+            return;
+        }
+        if (closing) {
+            part(client);
+        } else {
             spare.rests(client);
         }
     }
 
+    /** Ends a connection as the program ends, as soon as its client is not using it. */
+    private void part(Client client) {
+        if (clients.get(client.slot) == client && !client.busy && !retire(client, LAST_PATIENCE)) {
+            pooler.loop().after(AGAIN, () -> part(client));
+        }
+    }
+
     /** Closes connections as soon as nothing is due on them. */
     public void close() {
         closing = true;
-        clients.each(client -> {
-            if (!client.busy) {
-                end(client);
-            }
-        });
+        clients.each(this::part);
     }
 
     public int open() {
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -12,6 +12,11 @@
 /**
  * One connection. MINA's threads only frame what comes in and post it; all calls to the outside are made by the core
  * thread, and none after {@link Events#closed}.
+ *
+ * <p>There are two ways to end one. {@link #finish} and {@link #drop} are for when the last word has been said, or there
+ * is nobody to say it to. {@link #retire} is for an end that the pooler chooses by itself: it comes about only if no
+ * byte has been read that the core has not been told of, since a request read and dropped is lost, while one that
+ * still lies in the socket makes the system reset the connection, so that its client knows that it was not read.
  */
 public final class Link {
     /** What happens on a connection, told on the core thread. */
@@ -45,11 +50,14 @@
     private byte[] kept = new byte[0];
     private int length;
     private boolean deaf;
-    private volatile int reads;
+    // Both sides, under the gate: a read and the decision to end the connection exclude each other.
+    private final Object gate = new Object();
+    private long bytesRead;
+    private boolean barred;
     private final AtomicInteger ahead = new AtomicInteger();
     // The core's side.
     private IoSession session;
-    private int readsTold;
+    private long bytesTold, unfinishedSince, writtenAt;
     private boolean rest;
     private long writtenAtRead;
     private ConnectFuture dialling;
@@ -64,6 +72,23 @@
 
     // ---- MINA's threads ----
 
+    /** One read from the socket, as MINA's processor does it. */
+    interface Read {
+        int run() throws Exception;
+    }
+
+    /** Reads, unless the core has decided to end the connection. */
+    int read(Read read) throws Exception {
+        synchronized (gate) {
+            if (barred) {
+                return 0;
+            }
+            int count = read.run();
+            bytesRead += Math.max(0, count);
+            return count;
+        }
+    }
+
     void dialling(ConnectFuture future) {
         dialling = future;
     }
@@ -107,7 +132,6 @@
         long at = loop.now();
         String why = fault;
         boolean behind = why != null || length > 0;
-        reads++;
         if (ahead.addAndGet(more) > AHEAD_MOST) {
             // Guards the core's queue against a peer that sends faster than its messages can be worked off.
             from.suspendRead();
@@ -116,10 +140,14 @@
             }
         }
         loop.post(() -> {
-            if (ahead.addAndGet(-more) <= AHEAD_MOST && from.isReadSuspended()) {
+            if (ahead.addAndGet(-more) <= AHEAD_MOST && !over && from.isReadSuspended()) {
                 from.resumeRead();
             }
-            readsTold++;
+            bytesTold += more;
+            loop.waited(loop.now() - at);
+            if (behind && (!rest || !messages.isEmpty())) {
+                unfinishedSince = at;
+            }
             rest = behind;
             writtenAtRead = written;
             if (!over && !messages.isEmpty()) {
@@ -153,6 +181,7 @@
             size += part.length;
         }
         handed += size;
+        writtenAt = loop.now();
         if (session.getScheduledWriteBytes() > UNREAD_MOST) {
             session.closeNow();
             return;
@@ -186,7 +215,18 @@
 
     /** Whether bytes have come behind the messages that are being told. */
     public boolean more() {
-        return rest || reads != readsTold;
+        return rest || untold();
+    }
+
+    private boolean untold() {
+        return read() != bytesTold;
+    }
+
+    /** Bytes read from the socket so far. */
+    long read() {
+        synchronized (gate) {
+            return bytesRead;
+        }
     }
 
     /** How many bytes had gone out when the messages that are being told came in. */
@@ -204,6 +244,34 @@
         return session != null && session.getWrittenBytes() > count;
     }
 
+    /**
+     * Ends a connection that its client may be about to use; no further events come if that is done. If there is
+     * something read that has not been told yet, or an answer is still on its way out, the connection goes on.
+     *
+     * @param patience for how long the beginning of a message, or an answer that is not read, holds back the end
+     * @return whether the connection is ended
+     */
+    public boolean retire(long patience) {
+        long now = loop.now();
+        if (over || session == null) {
+            return over;
+        }
+        if (rest && now - unfinishedSince < patience
+                || session.getScheduledWriteBytes() > 0 && now - writtenAt < patience) {
+            return false;
+        }
+        synchronized (gate) {
+            if (bytesRead != bytesTold) {
+                return false;
+            }
+            barred = true;
+        }
+        // What comes from now on stays in the socket; without this the processor would wake for it in vain.
+        session.suspendRead();
+        finish();
+        return true;
+    }
+
     /** Closes once all that was written has been handed to the socket; no further events come. */
     public void finish() {
         over = true;
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -31,7 +31,7 @@
         return thread;
     });
     private final SimpleIoProcessorPool<NioSession> processor =
-            new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+            new SimpleIoProcessorPool<>(Processor.class, threads, 1, null);
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
 
     public Net(Loop loop) {
@@ -40,6 +40,19 @@
         connector.setHandler(new Handler());
     }
 
+    /** MINA's processor, whose reads each connection may bar. */
+    public static final class Processor extends NioProcessor {
+        public Processor(Executor threads) {
+            super(threads);
+        }
+
+        @Override
+        protected int read(NioSession session, IoBuffer in) throws Exception {
+            Link link = (Link) session.getAttribute(LINK);
+            return link == null ? super.read(session, in) : link.read(() -> super.read(session, in));
+        }
+    }
+
     private static void setUp(SocketSessionConfig config) {
         config.setTcpNoDelay(true);
         config.setReadBufferSize(4096);
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -1,8 +1,11 @@
 package lupinvalve.pg;
 
 import java.util.ArrayDeque;
-import java.util.List;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Set;
 import lupinvalve.Routing;
 import lupinvalve.core.Front;
 import lupinvalve.core.Pooler;
@@ -22,14 +25,16 @@
     private static final long WAITING_MOST = 8 << 20;
     /** Connections past the bound that are still told so, and for how long they may stay. */
     private static final int EXTRA_MOST = 32;
-    private static final long EXTRA_WAIT = 250_000;
+    private static final long EXTRA_WAIT = 250_000, AGAIN = 20_000;
+    /** Once the program ends, a client has so long to go on with what it has begun to send, or to read. */
+    private static final long LAST_PATIENCE = 300_000;
     private final Pooler pooler;
     private final Slots<Client> clients;
     private final Slots<Reply> replies;
-    private final java.util.IdentityHashMap<Link, Client> byLink = new java.util.IdentityHashMap<>();
+    private final IdentityHashMap<Link, Client> byLink = new IdentityHashMap<>();
     private final Spare<Client> spare;
     private boolean closing;
-    private int extra;
+    private final Set<Link> extra = Collections.newSetFromMap(new IdentityHashMap<>());
     private long waiting;
 
     private static final class Client {
@@ -59,7 +64,7 @@
     public PgFront(Pooler pooler, int clientsMost) {
         this.pooler = pooler;
         clients = new Slots<>(clientsMost);
-        spare = new Spare<>(pooler.loop(), clients, pooler.settings().limits().openMost(), this::end);
+        spare = new Spare<>(pooler.loop(), clients, pooler.settings().limits().openMost(), this::retire);
         replies = new Slots<>(clientsMost * 8);
     }
 
@@ -71,22 +76,11 @@
 
     @Override
     public void opened(Link link) {
-        if (closing) {
-            link.drop();
-            return;
-        }
         spare.makeRoom();
-        if (clients.full()) {
+        if (clients.full() || closing) {
             // Answered once it has spoken: closing on unread bytes would reset the connection before the answer.
-            if (++extra > EXTRA_MOST) {
-                extra--;
-                link.drop();
-            } else {
-                pooler.loop().after(EXTRA_WAIT, () -> {
-                    extra--;
-                    link.drop();
-                });
-            }
+            extra.add(link);
+            turnAway(link, extra.size() > EXTRA_MOST ? 0 : EXTRA_WAIT);
             return;
         }
         Client client = new Client(link);
@@ -95,8 +89,22 @@
         spare.opened(client);
     }
 
+    /** Ends a connection past the bound that has said nothing; one that has is told why by {@link #messages}. */
+    private void turnAway(Link link, long waitMicros) {
+        pooler.loop().after(waitMicros, () -> {
+            if (extra.contains(link)) {
+                if (link.retire(0)) {
+                    extra.remove(link);
+                } else {
+                    turnAway(link, AGAIN);
+                }
+            }
+        });
+    }
+
     @Override
     public void closed(Link link) {
+        extra.remove(link);
         Client client = byLink.remove(link);
         if (client != null) {
             drop(client);
@@ -109,6 +117,15 @@
         client.link.finish();
     }
 
+    /** Ends a connection on which nothing is due, unless its client has begun to use it. */
+    private boolean retire(Client client, long patience) {
+        boolean ended = client.due.isEmpty() && client.link.retire(patience);
+        if (ended) {
+            drop(client);
+        }
+        return ended;
+    }
+
     private void drop(Client client) {
         byLink.remove(client.link);
         spare.gone(client);
@@ -129,6 +146,9 @@
         if (client != null) {
             client.last = true;
             answer(client, PgMessages.error("FATAL", "08P01", why, null));
+        } else if (extra.remove(link)) {
+            link.write(PgMessages.error("FATAL", "08P01", why, null));
+            link.finish();
         }
     }
 
@@ -136,8 +156,11 @@
     public void messages(Link link, List<byte[]> messages, long atMicros) {
         Client client = byLink.get(link);
         if (client == null) {
-            link.write(PgMessages.error("FATAL", "53300", "too many clients", null));
-            link.finish();
+            if (extra.remove(link)) {
+                link.write(PgMessages.error("FATAL", closing ? "57P03" : "53300", closing ? "shutting down"
+                        : "too many clients", advice(pooler.settings().limits().maxRetryAfterMicros())));
+                link.finish();
+            }
             return;
         }
         for (byte[] message : messages) {
@@ -243,8 +266,11 @@
     // ---- answers ----
 
     private static byte[] refusal(long retryAfterMicros) {
-        return PgMessages.error("ERROR", "53300", "refused: a repeat does no harm",
-                retryAfterMicros > 0 ? Long.toString((retryAfterMicros + 999) / 1000) : null);
+        return PgMessages.error("ERROR", "53300", "refused: a repeat does no harm", advice(retryAfterMicros));
+    }
+
+    private static String advice(long retryAfterMicros) {
+        return retryAfterMicros > 0 ? Long.toString((retryAfterMicros + 999) / 1000) : null;
     }
 
     @Override
@@ -286,20 +312,30 @@
         if (!client.due.isEmpty() || clients.get(client.slot) != client) {
             return;
         }
-        if (client.last || closing) {
+        if (client.last) {
             end(client);
+        } else if (closing) {
+            part(client);
         } else {
             spare.rests(client);
         }
     }
 
+    /** Ends a connection as the program ends, as soon as its client is not using it. */
+    private void part(Client client) {
+        if (clients.get(client.slot) == client && client.due.isEmpty() && !retire(client, LAST_PATIENCE)) {
+            pooler.loop().after(AGAIN, () -> part(client));
+        }
+    }
+
     /** Closes connections as soon as nothing is due on them. */
     public void close() {
         closing = true;
         clients.each(this::flush);
     }
 
+    /** Connections that have not ended yet. */
     public int open() {
-        return clients.size();
+        return clients.size() + extra.size();
     }
 }
