--- a/src/main/java/lupinvalve/cli/Main.java
+++ b/src/main/java/lupinvalve/cli/Main.java
@@ -17,11 +17,12 @@
         int run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "serve, check-config, wirehost or version",
+    @Argument(required = true, metaVar = "COMMAND", usage = "serve, check-config, rehearse, wirehost or version",
             handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
+        @SubCommand(name = "rehearse", impl = Rehearse.class),
         @SubCommand(name = "wirehost", impl = WireHost.class),
         @SubCommand(name = "version", impl = Version.class)
     })
