Make the warm-up's list of clients whole before its core thread sees it

Seen on reading the change again: WarmUp filled its list of clients on the throw-away core thread and read it on the starting one. If the 2 s ran out while it was being filled, the start could fail with a concurrent modification. Change: the list is made first. In deploy/run.sh the comment on the compiler stands by its flags again.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -6,11 +6,11 @@
 [ "$heap" -ge 40 ] || heap=40
 [ "$heap" -le 112 ] || heap=112
 export MALLOC_ARENA_MAX=2
-# A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
-# is still interpreted takes several times the part of a core that a pooler has.
 # What the build's rehearsal wrote down of the classes; a JVM that can't use it reads them from the jar as ever.
 archive=target/lupinvalve.jsa
 [ -r "$archive" ] && set -- "-XX:SharedArchiveFile=$archive" -Xlog:cds=off || set --
+# A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
+# is still interpreted takes several times the part of a core that a pooler has.
 exec java "$@" -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=12m \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
     -XX:Tier3InvocationThreshold=50 -XX:Tier3MinInvocationThreshold=20 -XX:Tier3CompileThreshold=400 \
--- a/src/main/java/lupinvalve/cli/WarmUp.java
+++ b/src/main/java/lupinvalve/cli/WarmUp.java
@@ -45,7 +45,11 @@
                     port == PRIMARY, 0), Map.of(PgFront.PROTOCOL, "127.0.0.1:" + port)));
         }
         CountDownLatch left = new CountDownLatch(REQUESTS);
+        // Whole before the core thread sees it: it is read here even if the time runs out first.
         List<ClientScript> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(new ClientScript(config.site().settings().classes(), "w" + i, REQUESTS / CLIENTS, left));
+        }
         Log.Level level = Log.least();
         // What this pooler says would be taken for the word of the one that serves.
         Log.least(Log.Level.ERROR);
@@ -54,10 +58,8 @@
             loop.post(() -> {
                 pooler.start(1, List.of());
                 pooler.listed(new Directory.News(Routing.ListForm.FULL, entries));
-                for (int i = 0; i < CLIENTS; i++) {
-                    clients.add(new ClientScript(config.site().settings().classes(), "w" + i, REQUESTS / CLIENTS,
-                            left));
-                    net.connect(front.framer(), front, clients.get(i), ClientScript.hello());
+                for (ClientScript client : clients) {
+                    net.connect(front.framer(), front, client, ClientScript.hello());
                 }
             });
             left.await(MOST_MILLIS, TimeUnit.MILLISECONDS);
