--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,5 +5,6 @@
 mvn -q -B -DskipTests package
 rm -f target/lupinvalve.jsa
 java -XX:ArchiveClassesAtExit=target/lupinvalve.jsa -XX:+UseSerialGC -Xmx112m -Xss256k -XX:TieredStopAtLevel=1 \
-    -Xshare:auto -XX:-UsePerfData -Xlog:cds=off -Xlog:cds+dynamic=off -jar target/lupinvalve.jar rehearse \
+    -Xshare:auto -XX:-UsePerfData -Djava.net.preferIPv4Stack=true -Xlog:cds=off \
+    -Xlog:cds+dynamic=off -jar target/lupinvalve.jar rehearse \
     --config example/config.json || echo "no rehearsal: the program starts without an archive of its classes" >&2
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,7 +1,35 @@
 #!/bin/sh
 # Starts a pooler with a heap that fits the platform's limit on memory, which differs by day. All of the heap is touched
 # at the start, so that memory does not grow while the pooler serves; 72 MB are left for what is not heap.
-memory=$(sed -n 's/.*"memory_mb": *\([0-9][0-9]*\).*/\1/p' "$NODE_CONFIG" | head -n 1)
+#
+# The platform refuses to start other programs: the shell reads the file by itself, up to the key, then becomes the JVM.
+memory=
+seen=
+if [ -r "$NODE_CONFIG" ]; then
+    while IFS= read -r line || [ -n "$line" ]; do
+        seen="$seen $line"
+        case $seen in
+            *'"memory_mb"'*[0-9]*) break ;;
+        esac
+        # A key whose value stands on a later line is kept; lines before it are not, or long files would pile up.
+        case $seen in
+            *'"memory_mb"'*) seen="\"memory_mb\"${seen#*'"memory_mb"'}" ;;
+            *) seen= ;;
+        esac
+    done < "$NODE_CONFIG"
+    case $seen in
+        *'"memory_mb"'*)
+            memory=${seen#*'"memory_mb"'}
+            # What stands between the key and its digits, then what stands behind them.
+            between=${memory%%[0-9]*}
+            memory=${memory#"$between"}
+            memory=${memory%%[!0-9]*}
+            case $between in
+                *[!\ :"	"]*) memory= ;;
+            esac
+            ;;
+    esac
+fi
 heap=$((${memory:-128} - 72))
 [ "$heap" -ge 40 ] || heap=40
 [ "$heap" -le 112 ] || heap=112
@@ -11,7 +39,9 @@
 [ -r "$archive" ] && set -- "-XX:SharedArchiveFile=$archive" -Xlog:cds=off || set --
 # A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
 # is still interpreted takes several times the part of a core that a pooler has.
+# The platform's sockets are IPv4 alone; a JVM left to itself opens IPv6 sockets that carry both.
 exec java "$@" -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=12m \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
     -XX:Tier3InvocationThreshold=50 -XX:Tier3MinInvocationThreshold=20 -XX:Tier3CompileThreshold=400 \
-    -XX:-UsePerfData -Djdk.nio.maxCachedBufferSize=65536 -jar target/lupinvalve.jar serve
+    -XX:-UsePerfData -Djdk.nio.maxCachedBufferSize=65536 -Djava.net.preferIPv4Stack=true \
+    -jar target/lupinvalve.jar serve
