End surplus connections to db nodes after an idle time divided by the number of poolers

A pooler uses a second connection to one db node every 17 s or so (one request a second, 0.2 s each), but kept it for 10 s (Pool.rest). Now the one used last keeps its time; others end after that time divided by the poolers, 0.5 s at least: the table is shared by all. One pooler alone keeps them as before (two: 5 s).

With it: repeats that can't be in time any more are shed first where members are pressed. The lot sheds from 0.42 of the aim on in place of 0.5. Db nodes are told for how long a read is wanted (d), so that what still waits then is dropped there.

--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -41,7 +41,7 @@
     private static final long READ_PROBE_PACE = 60_000, CHANGE_PROBE_PACE = 150_000, SCOUT_PACE = 40_000;
     /** A replica of which nothing was heard for this long is probed, as far as the probe budget goes. */
     private static final long NEWS_PACE = 500_000;
-    private static final double PROBES_PER_REQUEST = 0.4, PROBES_SPARSE = 0.15;
+    private static final double PROBES_PER_REQUEST = 0.4, PROBES_SPARSE = 0.03;
     /** An attempt is overdue after this many times the latency expected of its member. */
     private static final double OVERDUE = 4;
     private static final long OVERDUE_LEAST = 100_000;
@@ -62,7 +62,7 @@
     private static final int ERRORS_READ = 2, ERRORS_WRITE = 2;
     /** Start and least bound on all routers' attempts out at a member, greatest on own, latency aimed at. */
     private static final double LIMIT_START = 28, LIMIT_LEAST = 6, LIMIT_MOST = 400, LIMIT_TELLS = 2;
-    private static final double PRESSURE = 0.5, PRESSURE_FULL = 1.5, WRITE_EASE = 2;
+    private static final double PRESSURE = 0.5, PRESSURE_SHED = 0.42, PRESSURE_FULL = 1.5, WRITE_EASE = 2;
     /** How long evidence of load counts, in microseconds, and how many answers outweigh what is pooled. */
     private static final double MEMORY = 3e6, LEAN = 2, NEWEST = 12, LOT_STEEP = 3, REPEAT_LOT = 0.9;
     /** Share of the primary's bound that reads may fill; the rest is for writes. */
@@ -91,6 +91,7 @@
     private final Map<Integer, Group> groups = new LinkedHashMap<>();
     private final Map<String, Pending> requests = new HashMap<>();
     private final Tokens tokens = new Tokens(TOKENS);
+    private final Ages ages;
     private final Gauge replicaLoad = gauge(), primaryLoad = gauge();
     private double warmServed, probeBudget = 4, idleKeep = IDLE_MOST;
     private int waitingCount, askFailures;
@@ -113,6 +114,7 @@
         startLimit = Math.max(1, LIMIT_START / settings.routers());
         leastLimit = Math.max(1, LIMIT_LEAST / settings.routers());
         sparse = leastLimit < LIMIT_TELLS;
+        ages = new Ages(settings.classes());
         int count = settings.classes().size();
         work = new double[count];
         longWork = new boolean[count];
@@ -400,7 +402,7 @@
         }
         // Guards against many routers that each send little: what their attempts met decides by lot which
         // requests are refused at once, the more the further latencies exceed the aim's part, repeats first.
-        double target = PRESSURE * (r.write() ? WRITE_EASE : share);
+        double target = PRESSURE_SHED * (r.write() ? WRITE_EASE : share);
         double open = Math.min(1, target / pressure(n));
         if (!sparse || r.lot < Math.pow(open, LOT_STEEP)) {
             return true;
@@ -455,8 +457,9 @@
         }
         g.askedAt = now;
         probeBudget = Math.min(20, probeBudget + (sparse && guarded ? PROBES_SPARSE : PROBES_PER_REQUEST));
-        double lot = q.repeated() ? REPEAT_LOT + (1 - REPEAT_LOT) * random.nextDouble() : random.nextDouble();
-        Pending r = new Pending(q, kind, g, now, lot);
+        boolean repeat = ages.spent(q.classIndex(), q.waitMicros()) || q.repeated();
+        double lot = random.nextDouble();
+        Pending r = new Pending(q, kind, g, now, repeat, repeat ? REPEAT_LOT + (1 - REPEAT_LOT) * lot : lot);
         requests.put(r.id(), r);
         if (kind.access() == Routing.Access.STRONG) {
             r.token = now;
@@ -477,7 +480,7 @@
     private void hold(Pending r) {
         ArrayDeque<Pending> queue = r.group.waiting.get(r.cls());
         held(r.group, 1);
-        if (r.asked.repeated()) {
+        if (r.repeat) {
             queue.addFirst(r);
         } else {
             queue.addLast(r);
@@ -541,14 +544,17 @@
         return Math.min(kind.access() == Routing.Access.WRITE ? 50_000 : Long.MAX_VALUE, most);
     }
 
+    /** From when on an answer is worth little, unless it is a repeat: that may always have been so. */
+    private long worthlessAt(Pending r) {
+        return r.kind.lateShare() < 0.5 && !r.repeat ? r.arrived + r.kind.aimMicros() : Long.MAX_VALUE;
+    }
+
     /** When a held request is no longer worth holding. */
     private long giveUpAt(Pending r) {
-        double worthless = r.kind.lateShare() < 0.5 && !r.asked.repeated()
-                ? r.arrived + r.kind.aimMicros() : Double.MAX_VALUE;
         // Guards against clients kept waiting for nothing: one told early has time to come back.
         double last = r.reached ? r.expires - Math.max(MARGIN, work[r.cls()])
                 : r.arrived + UNTRIED * (r.expires - r.arrived);
-        return (long) Math.min(worthless, last);
+        return (long) Math.min(worthlessAt(r), last);
     }
 
     // ---- choice ----
@@ -728,12 +734,15 @@
         if (r.kind.effect() != Routing.Effect.UNSAFE && left - patience > work[r.cls()]) {
             timeout = (long) patience;
         }
+        // Guards against overload: members drop what still waits when nobody wants it any more, and say so;
+        // giving it up here would close its connection.
+        long wanted = Math.min(timeout, Math.max(TICK, worthlessAt(r) - now));
         n.connected = true;
         Attempt a = new Attempt(r, r.attempts++, n, now, now + (long) overdue, idle);
         r.out = a;
         n.out.add(a);
         n.coldCredit--;
-        act.accept(new Routing.Send(r.id(), n.id, timeout));
+        act.accept(new Routing.Send(r.id(), n.id, timeout, wanted));
     }
 
     // ---- outcomes ----
@@ -849,7 +858,8 @@
     }
 
     private void again(Pending r, Routing.Ending ending) {
-        boolean spent = r.attempts >= settings.limits().attempts() || now >= r.expires - MARGIN
+        boolean spent = r.attempts >= settings.limits().attempts()
+                || now >= Math.min(r.expires - MARGIN, worthlessAt(r))
                 || r.errors > (r.write() ? ERRORS_WRITE : ERRORS_READ);
         if (spent || !mayRun(r, r.last)) {
             giveUp(r);
--- a/src/main/java/lupinvalve/Routing.java
+++ b/src/main/java/lupinvalve/Routing.java
@@ -144,9 +144,16 @@
      * @param session the session, or null
      * @param sinceWriteMicros time since the session's last commit, where tokens are carried; 0 for none
      * @param timeLeftMicros time until the client stops waiting for this try
+     * @param waitMicros what it said it would wait, of which a busy core may have lost some
      */
     public record Request(String id, int classIndex, boolean repeated, String session, long sinceWriteMicros,
-            int group, long timeLeftMicros) implements Event {}
+            int group, long timeLeftMicros, long waitMicros) implements Event {
+        /** One that comes the moment it was sent. */
+        public Request(String id, int classIndex, boolean repeated, String session, long sinceWriteMicros, int group,
+                long timeLeftMicros) {
+            this(id, classIndex, repeated, session, sinceWriteMicros, group, timeLeftMicros, timeLeftMicros);
+        }
+    }
 
     /** The client has gone; the request is over. */
     public record ClientGone(String id) implements Event {}
@@ -179,8 +186,13 @@
     /** What a router wants done. */
     public sealed interface Action {}
 
-    /** Start an attempt; its number is the count of earlier ones for the request. */
-    public record Send(String id, String node, long timeoutMicros) implements Action {}
+    /**
+     * Start an attempt; its number is the count of earlier ones for the request.
+     *
+     * @param timeoutMicros after which it is given up; 0 for when the client stops waiting
+     * @param wantedMicros for how long it is worth beginning, which is what the db node is told; 0 for the timeout
+     */
+    public record Send(String id, String node, long timeoutMicros, long wantedMicros) implements Action {}
 
     /** Final answer: no, and a repeat does no harm; come back after the given time (0: no advice). */
     public record Refuse(String id, long retryAfterMicros) implements Action {}
--- a/src/main/java/lupinvalve/State.java
+++ b/src/main/java/lupinvalve/State.java
@@ -109,6 +109,8 @@
         final Group group;
         final long arrived, expires;
         final double lot;
+        /** Whether it is a client's repeat, by its mark or by the time that it has left. */
+        final boolean repeat;
         long token = Long.MIN_VALUE;
         int attempts, errors;
         Attempt out;
@@ -119,11 +121,12 @@
         boolean reached;
         boolean over;
 
-        Pending(Routing.Request asked, Routing.RequestClass kind, Group group, long now, double lot) {
+        Pending(Routing.Request asked, Routing.RequestClass kind, Group group, long now, boolean repeat, double lot) {
             this.asked = asked;
             this.kind = kind;
             this.group = group;
             this.lot = lot;
+            this.repeat = repeat;
             arrived = now;
             expires = now + asked.timeLeftMicros();
         }
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -27,11 +27,12 @@
      *
      * @param id the client's name for it, which no other open request has
      * @param afterMicros position that a read must see, carried by the client; 0 for none
+     * @param arrivedMicros when its last byte came
      * @param expiresMicros when the client stops waiting
      * @param protocol name of the backend that can carry the statement
      */
     public record Ask(String id, int classIndex, boolean repeated, String session, long afterMicros, int group,
-            long expiresMicros, String protocol, Object statement) {}
+            long arrivedMicros, long expiresMicros, String protocol, Object statement) {}
 
     private static final class Held {
         final Front front;
@@ -152,7 +153,7 @@
         long age = after > 0 ? Math.max(1, now - after) : 0;
         held.overtime = loop.after(left + OVERTIME, () -> overtime(held));
         feed(now, new Routing.Request(held.id, ask.classIndex(), ask.repeated(), ask.session(), age, ask.group(),
-                left));
+                left, ask.expiresMicros() - ask.arrivedMicros()));
         return held.handle;
     }
 
@@ -257,9 +258,10 @@
 
     private void close(Held held, String how) {
         if (Log.debugs()) {
-            Log.debug("%s %s %s after %d us, group %d, %d attempts, first out after %d us", held.id,
+            Log.debug("%s %s %s after %d us, group %d, %d attempts, first out after %d us, given %d us", held.id,
                     settings.classes().get(held.ask.classIndex()).name(), how, loop.now() - held.arrived,
-                    held.ask.group(), held.attempts, held.attempts == 0 ? -1 : held.firstSent - held.arrived);
+                    held.ask.group(), held.attempts, held.attempts == 0 ? -1 : held.firstSent - held.arrived,
+                    held.ask.expiresMicros() - held.ask.arrivedMicros());
         }
         held.answered = true;
         loop.drop(held.overtime);
@@ -354,7 +356,8 @@
         Attempt a = new Attempt(held, number, send.node(), now);
         a.handle = attempts.put(a);
         a.timeout = loop.after(wait, () -> abandon(a, Ending.TIMED_OUT));
-        backends.get(held.ask.protocol()).send(a.handle, a.node, address, held.ask.statement(), wait);
+        backends.get(held.ask.protocol()).send(a.handle, a.node, address, held.ask.statement(), wait,
+                send.wantedMicros() == 0 ? wait : Math.min(send.wantedMicros(), wait));
     }
 
     /** What was never handed to a socket has not run, whatever ended the wait for it. */
--- a/src/main/java/lupinvalve/log/Log.java
+++ b/src/main/java/lupinvalve/log/Log.java
@@ -61,8 +61,32 @@
         if (level.compareTo(least) < 0) {
             return;
         }
-        String text = values.length == 0 ? format : String.format(format, values);
         // One line a call, whatever came from outside: control characters could forge further lines.
-        out.println(Instant.now() + " " + level + " " + text.replaceAll("\\p{Cntrl}", " "));
+        StringBuilder text = filled(format, values);
+        for (int i = 0; i < text.length(); i++) {
+            if (Character.isISOControl(text.charAt(i))) {
+                text.setCharAt(i, ' ');
+            }
+        }
+        out.println(text.insert(0, " ").insert(0, level).insert(0, " ").insert(0, Instant.now()));
+    }
+
+    /**
+     * Puts the values where the format says {@code %s} or {@code %d}. String.format would load the texts and numbers of
+     * a language first, which costs a pooler that starts some tens of milliseconds of its part of a core.
+     */
+    private static StringBuilder filled(String format, Object... values) {
+        StringBuilder text = new StringBuilder();
+        int value = 0;
+        for (int i = 0; i < format.length(); i++) {
+            char c = format.charAt(i);
+            if (c == '%' && i + 1 < format.length() && value < values.length) {
+                text.append(values[value++]);
+                i++;
+            } else {
+                text.append(c);
+            }
+        }
+        return text;
     }
 }
--- a/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -244,7 +244,7 @@
                     Params.write(out, timed(c, request.params()), true);
                 }
             }
-            say(c, out.raw(request.statement().bytes(c.job().left(loop.now()))), 0);
+            say(c, out.raw(request.statement().bytes(c.job().wanted(loop.now()))), 0);
         } else if (c.prepared.containsKey(key(request))) {
             execute(c);
         } else {
@@ -261,7 +261,7 @@
     private List<Params.Param> timed(MysqlConn c, List<Params.Param> params) {
         List<Params.Param> out = new ArrayList<>(params);
         out.replaceAll(p -> p.name().equals("d")
-                ? Params.text("d", Long.toString(Math.max(1, c.job().left(loop.now()) / 1000))) : p);
+                ? Params.text("d", Long.toString(Math.max(1, c.job().wanted(loop.now()) / 1000))) : p);
         return out;
     }
 
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -25,14 +25,16 @@
         public final long attempt;
         public final String node;
         public final Object statement;
-        public final long waitMicros;
+        public final long waitMicros, wantedMicros;
         final long startedAt;
 
-        Job(long attempt, String node, Object statement, long waitMicros, long startedAt) {
+        Job(long attempt, String node, Object statement, long waitMicros, long wantedMicros,
+                long startedAt) {
             this.attempt = attempt;
             this.node = node;
             this.statement = statement;
             this.waitMicros = waitMicros;
+            this.wantedMicros = wantedMicros;
             this.startedAt = startedAt;
         }
 
@@ -44,6 +46,11 @@
         public long left(long now) {
             return startedAt + waitMicros - now;
         }
+
+        /** For how long the db node may begin it. */
+        public long wanted(long now) {
+            return startedAt + wantedMicros - now;
+        }
     }
 
     /** A connection to a db node; protocols add what they must remember of it. */
@@ -103,6 +110,7 @@
     /** Bounds of a pool. */
     public record Bounds(int connections, long connectMicros, long idleMicros, long probeMicros) {}
 
+    private static final long SURPLUS_LEAST = 500_000;
     private final Dialer net;
     private final Bounds bounds;
     protected final Pooler pooler;
@@ -111,6 +119,8 @@
     private final Map<String, ArrayDeque<Conn>> idle = new HashMap<>();
     private final Map<Long, Conn> byAttempt = new HashMap<>();
     private final Trust trust;
+    /** For how long a connection may rest while another to its db node has been used since. */
+    private final long surplus;
 
     protected Pool(Dialer net, Pooler pooler, Bounds bounds) {
         this.net = net;
@@ -119,6 +129,13 @@
         loop = pooler.loop();
         conns = new Slots<>(bounds.connections());
         trust = new Trust(bounds.idleMicros());
+        surplus = Math.max(Math.min(SURPLUS_LEAST, bounds.idleMicros()),
+                bounds.idleMicros() / pooler.settings().routers());
+    }
+
+    /** Connections that are open, or on their way up. */
+    public final int open() {
+        return conns.size();
     }
 
     // ---- what a protocol adds ----
@@ -190,13 +207,14 @@
     // ---- the core's calls ----
 
     @Override
-    public final void send(long attempt, String node, String address, Object statement, long waitMicros) {
-        take(new Job(attempt, node, statement, waitMicros, loop.now()), address);
+    public final void send(long attempt, String node, String address, Object statement, long waitMicros,
+            long wantedMicros) {
+        take(new Job(attempt, node, statement, waitMicros, wantedMicros, loop.now()), address);
     }
 
     @Override
     public final void probe(String node, String address) {
-        take(new Job(-1, node, null, bounds.probeMicros(), loop.now()), address);
+        take(new Job(-1, node, null, bounds.probeMicros(), bounds.probeMicros(), loop.now()), address);
     }
 
     private void take(Job job, String address) {
@@ -332,10 +350,24 @@
         ArrayDeque<Conn> resting = idle.computeIfAbsent(conn.node, n -> new ArrayDeque<>());
         resting.addLast(conn);
         conn.restAt = loop.now();
-        conn.limit = loop.after(bounds.idleMicros(), () -> {
-            forget(conn);
-            conn.link.drop();
-        });
+        conn.limit = loop.after(surplus, () -> settle(conn));
+    }
+
+    /**
+     * A connection has rested for a while: the one used last stays, the others go. Guards the db nodes' tables, which all
+     * poolers fill together: what one keeps for its rare peaks takes room and capacity there from all.
+     */
+    private void settle(Conn conn) {
+        if (idle.get(conn.node).peekLast() == conn && surplus < bounds.idleMicros()) {
+            conn.limit = loop.after(bounds.idleMicros() - surplus, () -> end(conn));
+        } else {
+            end(conn);
+        }
+    }
+
+    private void end(Conn conn) {
+        forget(conn);
+        conn.link.drop();
     }
 
     private void forget(Conn conn) {
--- a/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/src/main/java/lupinvalve/pg/PgBackend.java
@@ -72,7 +72,7 @@
             c.write(PROBE);
             return;
         }
-        byte[] text = ((Statement) c.job().statement).bytes(c.job().left(loop.now()));
+        byte[] text = ((Statement) c.job().statement).bytes(c.job().wanted(loop.now()));
         c.write(PgMessages.message('Q', Arrays.copyOf(text, text.length + 1)));
     }
 
--- /dev/null
+++ b/src/test/java/lupinvalve/AgesTest.java
@@ -0,0 +1,53 @@
+package lupinvalve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class AgesTest {
+    private static final long MS = 1000;
+    private final Ages ages = new Ages(List.of(
+            new Routing.RequestClass("read", Routing.Access.ANY, 0, Routing.Effect.SAFE, Routing.KeyScope.ALL, 0,
+                    600 * MS, 2000 * MS, 1, 0),
+            new Routing.RequestClass("write", Routing.Access.WRITE, 0, Routing.Effect.UNSAFE, Routing.KeyScope.ALL, 0,
+                    600 * MS, 2000 * MS, 3, 0.7)));
+
+    private void first(int cls, int count) {
+        for (int i = 0; i < count; i++) {
+            assertEquals(0, ages.of(cls, 1500 * MS));
+        }
+    }
+
+    @Test
+    void whatARepeatLacksHasPassedSinceItsFirstTry() {
+        first(0, 40);
+        assertEquals(1100 * MS, ages.of(0, 900 * MS));
+        assertTrue(ages.spent(0, 900 * MS));
+        assertFalse(ages.spent(0, 1500 * MS));
+    }
+
+    @Test
+    void oneLongWaitMakesNoRepeatsOfAllOthers() {
+        first(0, 40);
+        assertEquals(0, ages.of(0, 1990 * MS));
+        first(0, 40);
+    }
+
+    @Test
+    void clientsThatAllWaitDifferentlyAreNotTakenForRepeats() {
+        for (int i = 0; i < 200; i++) {
+            assertFalse(ages.spent(0, (500 + i * 7 % 900) * MS));
+        }
+    }
+
+    @Test
+    void fewRequestsAndLateWorthProveNothing() {
+        first(0, 5);
+        assertFalse(ages.spent(0, 300 * MS));
+        first(1, 40);
+        assertFalse(ages.spent(1, 300 * MS), "a late write is still worth most of its worth");
+    }
+}
--- a/src/test/java/lupinvalve/RouterTest.java
+++ b/src/test/java/lupinvalve/RouterTest.java
@@ -662,6 +662,43 @@
         assertTrue(List.of("b", "c").contains(sentTo("good")));
     }
 
+    @Test
+    void memberIsToldForHowLongAReadIsWantedAndTheReadIsGivenUpThen() {
+        start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.UNSAFE);
+        known();
+        request("r", READ, null, 800 * MS);
+        assertEquals(200 * MS, lastSend("r").wantedMicros());
+        assertTrue(lastSend("r").timeoutMicros() > 200 * MS, "what is running may end: its connection stays");
+        now += 210 * MS;
+        outcome("r", 0, sentTo("r"), Ending.TURNED_BACK, now, Role.REPLICA);
+        assertEquals(1, sends("r"));
+        assertEquals(1, refusals("r"));
+    }
+
+    @Test
+    void repeatThatCannotBeInTimeIsShedFirst() {
+        start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.UNSAFE);
+        Routing.Settings s = settings(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.UNSAFE);
+        router = new Router(7, new Routing.Settings(0, 14, 0, true, s.classes(), s.limits(), s.rules(),
+                s.replication()), now, done::add);
+        list(ListForm.RESTORED, live("a", true), live("b", false), live("c", false));
+        known();
+        int[] refused = new int[2];
+        for (int i = 0; i < 400; i++) {
+            boolean repeat = i % 4 == 3;
+            String id = "r" + i;
+            request(id, READ, null, repeat ? 300 * MS : 700 * MS);
+            now += 5 * MS;
+            if (sentTo(id) == null) {
+                refused[repeat ? 1 : 0]++;
+            } else {
+                give(new Routing.Outcome(id, 0, sentTo(id), Ending.SERVED, 90 * MS, true, now, Role.REPLICA));
+            }
+        }
+        assertTrue(refused[1] > 60, "of 100 repeats " + refused[1]);
+        assertTrue(refused[0] < 150, "of 300 first tries " + refused[0]);
+    }
+
     @Test
     void memberThatFailsWhatOthersServeIsEjected() {
         start(FreshnessCheck.AWAIT, TokenSource.CARRIED, Effect.KEYED);
--- /dev/null
+++ b/src/test/java/lupinvalve/net/SurplusTest.java
@@ -0,0 +1,90 @@
+package lupinvalve.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import lupinvalve.Routing;
+import lupinvalve.config.NodeConfig;
+import lupinvalve.core.Directory;
+import lupinvalve.core.Loop;
+import lupinvalve.core.Pooler;
+import lupinvalve.core.Statement;
+import lupinvalve.pg.PgBackend;
+import lupinvalve.pg.PgFront;
+import lupinvalve.rehearsal.NodeScript;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** All poolers fill a db node's table together, so what one keeps there for its peaks must be little. */
+class SurplusTest {
+    private static final long IDLE = 20_000_000;
+    private final Loop loop = new Loop();
+    private PgBackend pool;
+
+    private void open(int routers) throws Exception {
+        Routing.Settings s = NodeConfig.read(Path.of("example/config.json"), null).site().settings();
+        Pooler pooler = new Pooler(loop, new Routing.Settings(0, routers, 0, s.mustSubscribe(), s.classes(), s.limits(),
+                s.rules(), s.replication()));
+        pooler.directory(new Directory() {
+            @Override
+            public void subscribe(boolean active) {
+                // The list is given below.
+            }
+
+            @Override
+            public void fetch() {
+                // Likewise.
+            }
+        });
+        Memory net = new Memory(loop, address -> new NodeScript(true));
+        pool = new PgBackend(net, pooler, new Pool.Bounds(50, 250_000, IDLE, 250_000), "api", "ledger");
+        pooler.backend(PgFront.PROTOCOL, pool);
+        loop.start();
+        loop.post(() -> {
+            pooler.start(1, List.of(new Directory.Entry(new Routing.Member("n", 1, 0, Routing.Health.LIVE, true, 0),
+                    Map.of(PgFront.PROTOCOL, "127.0.0.1:1"))));
+            for (int i = 0; i < 4; i++) {
+                pool.send(100 + i, "n", "127.0.0.1:1",
+                        new Statement("SELECT 1".getBytes(StandardCharsets.UTF_8)), 1_000_000, 1_000_000);
+            }
+        });
+    }
+
+    private <T> T onCore(Supplier<T> asked) throws Exception {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        loop.post(() -> answer.complete(asked.get()));
+        return answer.get(10, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void stop() {
+        loop.stop();
+    }
+
+    @Test
+    void oneOfManyPoolersKeepsOneRestingConnection() throws Exception {
+        open(14);
+        assertEquals(4, onCore(pool::open));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (onCore(pool::open) > 1 && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+        assertEquals(1, onCore(pool::open));
+        Thread.sleep(200);
+        assertEquals(1, onCore(pool::open), "the one used last stays for its whole time");
+    }
+
+    @Test
+    void aPoolerThatIsAloneKeepsThemAll() throws Exception {
+        open(1);
+        Thread.sleep(2_500);
+        assertTrue(onCore(pool::open) == 4, "twenty seconds have not passed");
+    }
+}
