Give cold db nodes more of what they can bear, and tell refused reads to come back in time

Router gives 0.75 now. So that the sum keeps under the rule, many routers start a cold member with less: 14 random starts of half a request each are a fifth of what it can bear in its first 3 s.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Starts a pooler with a heap that fits the platform's limit on memory, which differs by day. All of the heap is touched
-# at the start, so that memory does not grow while the pooler serves; 72 MB are left for what is not heap.
+# Starts a pooler with a heap that fits the platform's limit on memory, which differs by day. It is not touched at
+# the start: that takes a tenth of what a start costs, and the bound holds all the same. 72 MB are left for the rest.
 #
 # The platform refuses to start other programs: the shell reads the file by itself, up to the key, then becomes the JVM.
 memory=
@@ -40,7 +40,7 @@
 # A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
 # is still interpreted takes several times the part of a core that a pooler has.
 # The platform's sockets are IPv4 alone; a JVM left to itself opens IPv6 sockets that carry both.
-exec java "$@" -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=12m \
+exec java "$@" -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:MaxDirectMemorySize=12m \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
     -XX:Tier3InvocationThreshold=50 -XX:Tier3MinInvocationThreshold=20 -XX:Tier3CompileThreshold=400 \
     -XX:-UsePerfData -Djdk.nio.maxCachedBufferSize=65536 -Djava.net.preferIPv4Stack=true \
--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -30,7 +30,7 @@
     /** The article's wait for a replica before the primary is asked. */
     private static final long HOLD = 2_000_000;
     /** Share of a class's aim that a held read may spend, as aims are often shorter than HOLD. */
-    private static final double HOLD_OF_AIM = 0.4;
+    private static final double HOLD_OF_AIM = 0.2;
     private static final long TICK = 10_000, IDLE_TICK = 100_000, MISS_STEP = 2_000;
     /** Kept back from a deadline so that the final answer is out in time; share for what was never sent. */
     private static final long MARGIN = 15_000;
@@ -53,11 +53,13 @@
     private static final long GONE_KEPT = 5_000_000;
     private static final long ASK_FIRST = 250_000, FULL_PAUSE = 40_000;
     /** Part of the multiple a cold member may bear that it is given, and the requests it may save up for. */
-    private static final double COLD_PART = 0.55, COLD_BURST = 3;
+    private static final double COLD_PART = 0.75, COLD_BURST = 3, COLD_START = 4;
     private static final long RESTART_LEAST = 1_000_000;
     private static final double ERROR_SHARE = 0.25, ERROR_WEIGHT = 0.5;
     /** What a member costs that has answered this request with an error, against one that has not. */
     private static final double ERRED = 50;
+    /** Part of its aim after which a read that was refused should come back. */
+    private static final double ADVICE = 0.18;
     /** Errors after which a request is tried no more. */
     private static final int ERRORS_READ = 2, ERRORS_WRITE = 2;
     /** Start and least bound on all routers' attempts out at a member, greatest on own, latency aimed at. */
@@ -348,7 +350,8 @@
         n.coldSince = Math.max(n.coldSince, since);
         n.coldBase = warmServed;
         // A random start: routers that earn little would else give a cold member nothing while it warms up.
-        n.coldCredit = random.nextDouble();
+        // All of them start at once, so many of them start with less.
+        n.coldCredit = random.nextDouble() * Math.min(1, COLD_START / settings.routers());
         n.limit = Math.min(n.limit, startLimit);
     }
 
@@ -541,7 +544,9 @@
 
     private long advice(Routing.RequestClass kind) {
         long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterMicros() : 0;
-        return Math.min(kind.access() == Routing.Access.WRITE ? 50_000 : Long.MAX_VALUE, most);
+        // Where the lot refuses, another try may do better: early enough to be in time, and not as one wave.
+        double again = sparse ? ADVICE * (0.5 + random.nextDouble()) * kind.aimMicros() : Long.MAX_VALUE;
+        return Math.min(kind.access() == Routing.Access.WRITE ? 50_000 : (long) again, most);
     }
 
     /** From when on an answer is worth little, unless it is a repeat: that may always have been so. */
--- a/src/main/java/lupinvalve/cli/Rehearse.java
+++ b/src/main/java/lupinvalve/cli/Rehearse.java
@@ -25,7 +25,7 @@
         NodeConfig config = node(OperatorConfig.NONE);
         int served = 0;
         try (StandIns standIns = new StandIns()) {
-            Daemon daemon = new Daemon(new NodeConfig(config.name(), "127.0.0.1:0", standIns.discovery(), config.seed(),
+            Daemon daemon = new Daemon(new NodeConfig(config.name(), "127.0.0.1:0", standIns.discovery(), config.seed(), config.cores(),
                     config.memoryMb(), config.sockets(), config.known(), config.site()), OperatorConfig.NONE);
             daemon.start();
             try (Socket client = new Socket(daemon.address().getAddress(), daemon.address().getPort())) {
--- a/src/main/java/lupinvalve/cli/WarmUp.java
+++ b/src/main/java/lupinvalve/cli/WarmUp.java
@@ -23,15 +23,30 @@
  * code that is not compiled yet: it takes several times the part of a core that a pooler has, and the core falls behind.
  */
 final class WarmUp {
-    static final int REQUESTS = 600;
+    static final int MANY = 600, FEW = 60;
+    /**
+     * Seconds of a core that a request costs while the code is cold, and the part of a pooler's core that may go into
+     * it. Where clients bring more than that, a pooler that has not warmed up falls behind; where they bring less, what
+     * the warm-up takes is time in which nobody is served at all, and after a release most of a fleet starts at once.
+     */
+    private static final double COLD = 0.004, COLD_PART = 0.9;
     private static final int CLIENTS = 4, GROUP = 1, PRIMARY = 1, REPLICA = 2;
     /** A machine so slow that this is not enough does better to serve. */
     private static final long MOST_MILLIS = 2_000;
 
     private WarmUp() {}
 
+    /** How many requests to warm up with. */
+    static int requests(double ratePerSecond, double cores) {
+        return ratePerSecond > 0 && ratePerSecond * COLD < cores * COLD_PART ? FEW : MANY;
+    }
+
     /** Gives how many requests were served. */
     static int run(NodeConfig config) {
+        return run(config, requests(config.site().ratePerSecond(), config.cores()));
+    }
+
+    static int run(NodeConfig config, int requests) {
         Loop loop = new Loop();
         Pooler pooler = new Pooler(loop, config.site().settings());
         pooler.directory(new Silent());
@@ -44,11 +59,11 @@
             entries.add(new Directory.Entry(new Routing.Member("n" + port, GROUP, 0, Routing.Health.LIVE,
                     port == PRIMARY, 0), Map.of(PgFront.PROTOCOL, "127.0.0.1:" + port)));
         }
-        CountDownLatch left = new CountDownLatch(REQUESTS);
+        CountDownLatch left = new CountDownLatch(requests);
         // Whole before the core thread sees it: it is read here even if the time runs out first.
         List<ClientScript> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
-            clients.add(new ClientScript(config.site().settings().classes(), "w" + i, REQUESTS / CLIENTS, left));
+            clients.add(new ClientScript(config.site().settings().classes(), "w" + i, requests / CLIENTS, left));
         }
         Log.Level level = Log.least();
         // What this pooler says would be taken for the word of the one that serves.
--- a/src/main/java/lupinvalve/config/NodeConfig.java
+++ b/src/main/java/lupinvalve/config/NodeConfig.java
@@ -14,7 +14,7 @@
  *
  * @param known the list as this pooler had it last
  */
-public record NodeConfig(String name, String listen, String discovery, long seed, int memoryMb, int sockets,
+public record NodeConfig(String name, String listen, String discovery, long seed, double cores, int memoryMb, int sockets,
         ListReader.Listed known, SettingsReader.Site site) {
     private static final JsonFactory JSON = new JsonFactory();
 
@@ -28,6 +28,7 @@
         String listen = null;
         String discovery = null;
         long seed = 0;
+        double cores = 1;
         int memory = 192;
         int sockets = 1024;
         ListReader.Listed known = new ListReader.Listed(0, true, List.of());
@@ -50,7 +51,9 @@
                         while (in.nextToken() == JsonToken.FIELD_NAME) {
                             String limit = in.currentName();
                             in.nextToken();
-                            if (limit.equals("memory_mb")) {
+                            if (limit.equals("cores")) {
+                                cores = cores(file, in);
+                            } else if (limit.equals("memory_mb")) {
                                 memory = in.getValueAsInt();
                             } else if (limit.equals("sockets")) {
                                 sockets = in.getValueAsInt();
@@ -67,10 +70,18 @@
             throw new IOException(file + ": " + (listen == null ? "listen" : "settings") + " is missing");
         }
         // Clients hold a third of the descriptors at most for requests.
-        return new NodeConfig(name, listen, discovery, seed, memory, sockets, known,
+        return new NodeConfig(name, listen, discovery, seed, cores, memory, sockets, known,
                 site.withOpen(Math.max(1, sockets / 3)));
     }
 
+    private static double cores(Path file, JsonParser in) throws IOException {
+        double cores = in.currentToken().isNumeric() ? in.getDoubleValue() : 0;
+        if (!(cores > 0)) {
+            throw new IOException(file + ": limits.cores: " + in.getText() + " is no part of a core");
+        }
+        return cores;
+    }
+
     private static long seed(String text) {
         try {
             return Long.parseUnsignedLong(text, 16);
--- a/src/main/java/lupinvalve/wire/SettingsReader.java
+++ b/src/main/java/lupinvalve/wire/SettingsReader.java
@@ -15,8 +15,10 @@
      *
      * @param connectMicros a connection not up within this time is given up
      * @param keepaliveMicros an idle connection is closed by the db node after this time
+     * @param ratePerSecond requests that one pooler may expect: the tenants' shares, over all poolers; 0 where none says
      */
-    public record Site(Routing.Settings settings, long connectMicros, long keepaliveMicros, List<String> zones) {
+    public record Site(Routing.Settings settings, long connectMicros, long keepaliveMicros, List<String> zones,
+            double ratePerSecond) {
         /** The same with at most so many requests open. */
         public Site withOpen(long most) {
             Routing.Settings s = settings;
@@ -24,7 +26,7 @@
             return new Site(new Routing.Settings(s.self(), s.routers(), s.zone(), s.mustSubscribe(), s.classes(),
                     new Routing.Limits(l.attempts(), l.parallelAttempts(), l.cancel(), l.probe(), l.retryAfter(),
                             l.maxRetryAfterMicros(), Math.min(l.openMost(), most)), s.rules(), s.replication()),
-                    connectMicros, keepaliveMicros, zones);
+                    connectMicros, keepaliveMicros, zones, ratePerSecond);
         }
     }
 
@@ -34,8 +36,13 @@
         Fields limits = env.object("ceilings");
         List<String> zones = new ArrayList<>();
         env.arrayOrEmpty("dcs").forEach(zone -> zones.add(String.valueOf(zone)));
-        return new Site(read(env), limits.wholeOr("connect_timeout_us", 250_000),
-                limits.wholeOr("keepalive_us", 15_000_000), zones);
+        double rate = 0;
+        for (Object project : env.arrayOrEmpty("projects")) {
+            rate += env.inner("projects", project).numberOr("quota_per_s", 0);
+        }
+        Routing.Settings settings = read(env);
+        return new Site(settings, limits.wholeOr("connect_timeout_us", 250_000),
+                limits.wholeOr("keepalive_us", 15_000_000), zones, rate / settings.routers());
     }
 
     static Routing.Settings read(Fields env) {
