--- a/src/main/java/lupinvalve/Routing.java
+++ b/src/main/java/lupinvalve/Routing.java
@@ -115,7 +115,8 @@
         public Settings {
             classes = List.copyOf(classes);
             require(!classes.isEmpty(), "classes");
-            require(routers > 0, "n_instances");
+            require(routers > 0, "n_instances " + routers);
+            require(self >= 0 && self < routers, "me " + self + " of " + routers);
         }
     }
 
--- a/src/main/java/lupinvalve/config/NodeConfig.java
+++ b/src/main/java/lupinvalve/config/NodeConfig.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import lupinvalve.discovery.ListReader;
 import lupinvalve.wire.SettingsReader;
+import lupinvalve.wire.WireException;
 
 /**
  * What the platform tells a pooler, decoded once.
@@ -46,7 +47,7 @@
                     case "discovery" -> discovery = in.getValueAsString();
                     case "seed" -> seed = seed(in.getValueAsString("0"));
                     case "known" -> known = new ListReader(List.of(), mysqlPort).read(in);
-                    case "settings" -> site = SettingsReader.read(in);
+                    case "settings" -> site = site(file, in);
                     case "limits" -> {
                         while (in.nextToken() == JsonToken.FIELD_NAME) {
                             String limit = in.currentName();
@@ -74,6 +75,15 @@
                 site.withOpen(Math.max(1, sockets / 3)));
     }
 
+    /** What is wrong in the settings is told with the file that holds them. */
+    private static SettingsReader.Site site(Path file, JsonParser in) throws IOException {
+        try {
+            return SettingsReader.read(in);
+        } catch (WireException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+    }
+
     private static double cores(Path file, JsonParser in) throws IOException {
         double cores = in.currentToken().isNumeric() ? in.getDoubleValue() : 0;
         if (!(cores > 0)) {
