End resting connections in one place, and derive how long a client waits

Pool ended a resting connection in three places with the same three calls; end() now serves them, and drops the deadline in all.

--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -32,7 +32,12 @@
      * @param protocol name of the backend that can carry the statement
      */
     public record Ask(String id, int classIndex, boolean repeated, String session, long afterMicros, int group,
-            long arrivedMicros, long expiresMicros, String protocol, Object statement) {}
+            long arrivedMicros, long expiresMicros, String protocol, Object statement) {
+        /** How long the client said that it would wait. */
+        long waitMicros() {
+            return expiresMicros - arrivedMicros;
+        }
+    }
 
     private static final class Held {
         final Front front;
@@ -42,7 +47,7 @@
         String id;
         long handle, token;
         int attempts;
-        long arrived, firstSent;
+        long firstSent;
         boolean answered;
         Deadlines.Deadline overtime;
 
@@ -141,7 +146,6 @@
         byId.put(held.id, held);
         named.add(ask.id());
         long now = loop.now();
-        held.arrived = now;
         long left = held.expires - now;
         long after = ask.afterMicros();
         long marked = ask.session() == null ? 0 : marks.lastCommit(ask.session());
@@ -153,7 +157,7 @@
         long age = after > 0 ? Math.max(1, now - after) : 0;
         held.overtime = loop.after(left + OVERTIME, () -> overtime(held));
         feed(now, new Routing.Request(held.id, ask.classIndex(), ask.repeated(), ask.session(), age, ask.group(),
-                left, ask.expiresMicros() - ask.arrivedMicros()));
+                left, ask.waitMicros()));
         return held.handle;
     }
 
@@ -259,9 +263,9 @@
     private void close(Held held, String how) {
         if (Log.debugs()) {
             Log.debug("%s %s %s after %d us, group %d, %d attempts, first out after %d us, given %d us", held.id,
-                    settings.classes().get(held.ask.classIndex()).name(), how, loop.now() - held.arrived,
-                    held.ask.group(), held.attempts, held.attempts == 0 ? -1 : held.firstSent - held.arrived,
-                    held.ask.expiresMicros() - held.ask.arrivedMicros());
+                    settings.classes().get(held.ask.classIndex()).name(), how,
+                    loop.now() - held.ask.arrivedMicros(), held.ask.group(), held.attempts,
+                    held.attempts == 0 ? -1 : held.firstSent - held.ask.arrivedMicros(), held.ask.waitMicros());
         }
         held.answered = true;
         loop.drop(held.overtime);
--- a/src/main/java/lupinvalve/core/Statement.java
+++ b/src/main/java/lupinvalve/core/Statement.java
@@ -144,8 +144,8 @@
         // What a client claims to wait can't be longer than a class allows: it would hold its slot for ever.
         long most = Math.max(classes.get(index).deadlineMicros() / 1000, 1);
         return new Pooler.Ask(id, index, "1".equals(fields.get("r")), session != null ? session : key(),
-                Math.max(0, number("after")) * 1000, (int) group, arrivedMicros, arrivedMicros + Math.min(wait, most) * 1000,
-                protocol, carried);
+                Math.max(0, number("after")) * 1000, (int) group, arrivedMicros,
+                arrivedMicros + Math.min(wait, most) * 1000, protocol, carried);
     }
 
     /** A field's whole number, or -1 where it is missing. Nothing is guessed for one that is no such number. */
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -275,9 +275,7 @@
         for (ArrayDeque<Conn> resting : idle.values()) {
             Conn conn = resting.pollFirst();
             if (conn != null) {
-                loop.drop(conn.limit);
-                forget(conn);
-                conn.link.drop();
+                end(conn);
                 return true;
             }
         }
@@ -305,11 +303,7 @@
     public final void closeIdle(String node) {
         ArrayDeque<Conn> resting = idle.remove(node);
         if (resting != null) {
-            resting.forEach(conn -> {
-                loop.drop(conn.limit);
-                forget(conn);
-                conn.link.drop();
-            });
+            resting.forEach(this::end);
         }
     }
 
@@ -366,6 +360,7 @@
     }
 
     private void end(Conn conn) {
+        loop.drop(conn.limit);
         forget(conn);
         conn.link.drop();
     }
