Add the operators' address, figures, maintenance, drain, and upgrade beside a running process

Cause: nothing of the kind existed; Net.listen bound without SO_REUSEPORT, PgFront.query said yes whatever came.

Change: upkeep (Maintenance, Drain, Figures; no I/O), door (the address, MINA threads of its own), handoff (orders and the note of who serves, in $TMPDIR), Operations in cli. The core shows each list entry to Maintenance before the router hears of it; it closes each request at one place, where it is counted. An acceptor takes what waits in its queue before it closes. The heap starts small where $NODE_OPERATOR is set, since two processes share the limit.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -34,13 +34,18 @@
 [ "$heap" -ge 40 ] || heap=40
 [ "$heap" -le 112 ] || heap=112
 export MALLOC_ARENA_MAX=2
+# Where operators have an address, two of these run beside each other during an upgrade, within the same limit: the heap then
+# starts small, its part for new objects stays small, and what is free goes back.
+start="-Xms${heap}m"
+[ -z "$NODE_OPERATOR" ] || start="-Xms16m -Xmn10m -XX:MinHeapFreeRatio=10 -XX:MaxHeapFreeRatio=25"
 # What the build's rehearsal wrote down of the classes; a JVM that can't use it reads them from the jar as ever.
 archive=target/lupinvalve.jsa
 [ -r "$archive" ] && set -- "-XX:SharedArchiveFile=$archive" -Xlog:cds=off || set --
 # A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
 # is still interpreted takes several times the part of a core that a pooler has.
 # The platform's sockets are IPv4 alone; a JVM left to itself opens IPv6 sockets that carry both.
-exec java "$@" -XX:+UseSerialGC "-Xms${heap}m" "-Xmx${heap}m" -XX:MaxDirectMemorySize=12m \
+# shellcheck disable=SC2086
+exec java "$@" -XX:+UseSerialGC $start "-Xmx${heap}m" -XX:MaxDirectMemorySize=12m \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
     -XX:Tier3InvocationThreshold=50 -XX:Tier3MinInvocationThreshold=20 -XX:Tier3CompileThreshold=400 \
     -XX:-UsePerfData -Djdk.nio.maxCachedBufferSize=65536 -Djava.net.preferIPv4Stack=true \
--- a/src/main/java/lupinvalve/Router.java
+++ b/src/main/java/lupinvalve/Router.java
@@ -944,6 +944,12 @@
         }
     }
 
+    /** Whether a member in the list is not used by choice. */
+    public boolean avoids(String node) {
+        Node n = nodes.get(node);
+        return n != null && (!healthy(n) || shunned(n));
+    }
+
     /** How many members are remembered. */
     int members() {
         return nodes.size();
--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import lupinvalve.Routing;
 import lupinvalve.config.NodeConfig;
 import lupinvalve.config.OperatorConfig;
@@ -11,6 +14,9 @@
 import lupinvalve.discovery.DnsDirectory;
 import lupinvalve.discovery.HttpDirectory;
 import lupinvalve.discovery.ListReader;
+import lupinvalve.door.Calls;
+import lupinvalve.door.Door;
+import lupinvalve.handoff.Incumbent;
 import lupinvalve.log.Log;
 import lupinvalve.mysql.MysqlBackend;
 import lupinvalve.mysql.MysqlFront;
@@ -32,6 +38,11 @@
     /** Descriptors kept for files, listeners, discovery and the JVM. */
     private static final int SPARE = 64;
     private static final long PROBE = 250_000;
+    /** How often it is looked whether all has ended, and how often that must be so in turn. */
+    private static final long SETTLE = 10_000;
+    private static final int QUIET = 5;
+    /** How long a start waits for discovery's first word while another process serves. */
+    private static final long INFORMED_MILLIS = 1_500;
     private static final String DOCUMENT = "operator";
     private final NodeConfig config;
     private final Loop loop = new Loop();
@@ -46,10 +57,18 @@
     private OperatorConfig operator;
     private MysqlFront mysql;
     private Net.Listener mysqlListener;
+    private Operations operations;
+    private Door door;
+    private Incumbent incumbent;
     private StoreFile file;
     private Replicator replicator;
 
     public Daemon(NodeConfig config, OperatorConfig file) throws IOException {
+        this(config, file, null);
+    }
+
+    /** @param shared folder that two processes of this pooler share during an upgrade, or null */
+    public Daemon(NodeConfig config, OperatorConfig file, Path shared) throws IOException {
         this.config = config;
         operator = file;
         pooler = new Pooler(loop, config.site().settings());
@@ -71,6 +90,21 @@
                     new MysqlBackend(net, pooler, bounds, m.nodeUser(), m.nodePassword(), m.database()));
         }
         pooler.directory(directory());
+        if (config.operator() != null) {
+            // Poolers of other names may share the folder where it is no pooler's own.
+            Path stem = shared == null ? null
+                    : shared.resolve("lupinvalve-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+            operations = new Operations(pooler, stem, this::endConnections);
+            incumbent = stem == null ? null : new Incumbent(stem);
+            door = new Door(new Calls(operations));
+        }
+    }
+
+    private void endConnections() {
+        front.close();
+        if (mysql != null) {
+            mysql.close();
+        }
     }
 
     /** The store first: the operator's document of the highest revision says how the rest is set up. */
@@ -147,22 +181,58 @@
     }
 
     /** Starts serving; returns once the port is open. */
-    public void start() throws IOException {
-        WarmUp.run(config);
-        loop.start();
-        loop.post(() -> pooler.start(config.seed(), config.known().entries()));
+    public void start() throws IOException, InterruptedException {
+        if (door != null) {
+            try {
+                door.listen(config.operator());
+            } catch (IOException e) {
+                throw new IOException("operator: " + config.operator() + " can't be listened on: " + e.getMessage(), e);
+            }
+        }
+        CountDownLatch informed = new CountDownLatch(1);
+        pooler.onceInformed(informed::countDown);
+        if (operations != null) {
+            // Operators may call from now on, and each call must be answered within a second.
+            operations.start();
+            startCore();
+            WarmUp.run(config);
+        } else {
+            WarmUp.run(config);
+            startCore();
+        }
         if (replicator != null) {
             replicator.listen(Addresses.parse(operator.store().listen()));
             loop.post(() -> operator.store().peers().forEach(peer -> replicator.peer(Addresses.parse(peer))));
         }
+        if (incumbent != null && incumbent.another()) {
+            // Somebody serves meanwhile, so there is time to learn what has changed since the list was written down.
+            informed.await(INFORMED_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        boolean shared = incumbent != null;
         if (mysql != null && operator.mysql().listen() != null) {
-            mysqlListener = net.listen(Addresses.parse(operator.mysql().listen()), mysql::framer, mysql);
+            mysqlListener = net.listen(Addresses.parse(operator.mysql().listen()), shared, mysql::framer, mysql);
             Log.info("%s speaks MySQL on %s", config.name(), mysqlListener.address());
         }
-        listener = net.listen(Addresses.parse(config.listen()), front::framer, front);
+        listener = net.listen(Addresses.parse(config.listen()), shared, front::framer, front);
+        if (incumbent != null) {
+            incumbent.serves();
+        }
+        if (operations != null) {
+            operations.serves(true);
+            Log.info("%s answers operators on %s", config.name(), door.address());
+        }
         Log.info("%s listens on %s:%d", config.name(), address().getHostString(), address().getPort());
     }
 
+    private void startCore() {
+        loop.start();
+        loop.post(() -> pooler.start(config.seed(), config.known().entries()));
+    }
+
+    public InetSocketAddress doorAddress() {
+        return door.address();
+    }
+
     public InetSocketAddress address() {
         return listener.address();
     }
@@ -181,37 +251,51 @@
     }
 
     /**
-     * Ends without losing what was taken; {@code then} runs when all is answered. Clients use the connections they have
-     * for as long as these stay open, and find nobody once they are closed: so requests are taken for as long as they
-     * can be answered before the platform kills the program, and the wait of those that come late is cut to that.
+     * Ends without losing what was taken; {@code then} runs when all is answered. Where another process of this pooler
+     * serves, the port closes at once. Else clients use the connections they have for as long as these stay open, and find
+     * nobody once they are closed: so requests are taken for as long as they can be answered before the platform kills
+     * the program, and the wait of those that come late is cut to that.
      */
     public void drain(Runnable then) {
+        boolean succeeded = incumbent != null && incumbent.another();
         loop.post(() -> {
-            Log.info("draining: %d requests, %d clients", pooler.open(), front.open());
+            Log.info("ending%s: %d requests, %d clients", succeeded ? " after a successor's start" : "", pooler.open(),
+                    front.open());
             long longest = 0;
             for (Routing.RequestClass kind : config.site().settings().classes()) {
                 longest = Math.max(longest, kind.deadlineMicros());
             }
             long left = Math.min(longest, LONGEST) + KILL - ANSWERED;
             pooler.lastAnswer(loop.now() + left);
-            loop.after(left - LAST_CALL, () -> {
-                listener.stop();
-                front.close();
-                if (mysqlListener != null) {
-                    mysqlListener.stop();
-                    mysql.close();
-                }
-                settle(then);
-            });
+            if (operations != null) {
+                operations.serves(false);
+            }
+            if (succeeded) {
+                leave(then);
+            } else {
+                loop.after(left - LAST_CALL, () -> leave(then));
+            }
         });
     }
 
-    private void settle(Runnable then) {
-        if (pooler.open() == 0 && front.open() == 0 && (mysql == null || mysql.open() == 0)) {
-            // The last answers are with MINA's thread; it hands them to the sockets in no time.
-            loop.after(50_000, then);
+    private void leave(Runnable then) {
+        pooler.drain().leave();
+        listener.stop(() -> {
+            endConnections();
+            settle(then, 0);
+        });
+        if (mysqlListener != null) {
+            mysqlListener.stop();
+        }
+    }
+
+    private void settle(Runnable then, int quiet) {
+        boolean over = pooler.open() == 0 && front.open() == 0 && (mysql == null || mysql.open() == 0);
+        if (over && quiet >= QUIET) {
+            // The last answers are with MINA's thread, and the last connections taken have been heard of by now.
+            then.run();
         } else {
-            loop.after(10_000, () -> settle(then));
+            loop.after(SETTLE, () -> settle(then, over ? quiet + 1 : 0));
         }
     }
 
@@ -229,6 +313,10 @@
                 replicator.stop();
             }
         });
+        if (door != null) {
+            door.stop();
+            operations.stop();
+        }
         net.close();
         loop.stop();
     }
--- a/src/main/java/lupinvalve/cli/Files.java
+++ b/src/main/java/lupinvalve/cli/Files.java
@@ -21,7 +21,8 @@
 
     /** The platform's file, with db nodes' addresses as the operator's has them. */
     NodeConfig node(OperatorConfig operatorConfig) throws IOException {
-        return NodeConfig.read(config(), operatorConfig.mysql() == null ? null : operatorConfig.mysql().nodePort());
+        return NodeConfig.read(config(), operatorConfig.mysql() == null ? null : operatorConfig.mysql().nodePort())
+                .withOperator("NODE_OPERATOR", System.getenv("NODE_OPERATOR"));
     }
 
     private Path config() {
--- /dev/null
+++ b/src/main/java/lupinvalve/cli/Operations.java
@@ -0,0 +1,133 @@
+package lupinvalve.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+import lupinvalve.core.Pooler;
+import lupinvalve.door.Calls;
+import lupinvalve.handoff.OrdersFile;
+import lupinvalve.log.Log;
+import lupinvalve.upkeep.Drain;
+import lupinvalve.upkeep.Maintenance.Orders;
+
+/**
+ * Carries operators' calls to the core, and their orders to the file that both processes of an upgrade read. The core
+ * decides; a thread of its own touches the disk.
+ */
+final class Operations implements Calls.Pooler {
+    /** How often the other process's orders are looked for: they bind 250 ms after its yes. */
+    private static final long LOOK_MILLIS = 80;
+    private final Pooler pooler;
+    private final OrdersFile file;
+    private final Runnable endConnections;
+    private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(work -> {
+        Thread thread = new Thread(null, work, "orders", 256 << 10);
+        thread.setDaemon(true);
+        return thread;
+    });
+    private volatile boolean serving, away;
+    /** The worker's: the orders as they stand. */
+    private Orders orders = Orders.NONE;
+
+    /**
+     * @param stem path of the files that two processes share, without their endings; null for none
+     * @param endConnections ends clients' connections as the drain allows; on the core thread
+     */
+    Operations(Pooler pooler, Path stem, Runnable endConnections) {
+        this.pooler = pooler;
+        this.endConnections = endConnections;
+        file = stem == null ? null : new OrdersFile(stem);
+    }
+
+    /** Reads what an earlier process left, and goes on looking for what another one does. Before the core starts. */
+    void start() {
+        if (file == null) {
+            return;
+        }
+        Orders left = file.changed(orders);
+        if (left != null) {
+            orders = left;
+            pooler.maintain(left);
+        }
+        worker.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    void stop() {
+        worker.shutdownNow();
+    }
+
+    /** Whether this process takes clients: not before its port is open, nor once it ends. */
+    void serves(boolean takesClients) {
+        serving = takesClients;
+    }
+
+    private void look() {
+        Orders other = file.changed(orders);
+        if (other != null) {
+            orders = other;
+            pooler.loop().post(() -> pooler.maintain(other));
+        }
+    }
+
+    @Override
+    public String unready() {
+        return !serving ? "not serving" : away ? "clients are sent away" : null;
+    }
+
+    @Override
+    public String figures() {
+        return pooler.figures().text();
+    }
+
+    @Override
+    public void maintain(boolean takeOut, String id, Consumer<String> objection) {
+        pooler.loop().post(() -> {
+            String why = pooler.objection(takeOut, id);
+            if (why != null) {
+                objection.accept(why);
+            } else {
+                worker.execute(() -> order(held -> held.with(takeOut, id, pooler.loop().now()), objection));
+            }
+        });
+    }
+
+    /** The order is in the file before it holds, and holds before the yes. */
+    private void order(UnaryOperator<Orders> change, Consumer<String> objection) {
+        try {
+            orders = file == null ? change.apply(orders) : file.change(orders, change);
+        } catch (IOException | RuntimeException e) {
+            Log.error("an order can't be kept: %s", e);
+            objection.accept("the order can't be kept: " + e.getClass().getSimpleName());
+            return;
+        }
+        Orders now = orders;
+        pooler.loop().post(() -> {
+            pooler.maintain(now);
+            objection.accept(null);
+        });
+    }
+
+    @Override
+    public void drain(boolean quiesce, Consumer<String> objection) {
+        pooler.loop().post(() -> {
+            Drain drain = pooler.drain();
+            if (drain.leaving()) {
+                objection.accept(quiesce ? null : "the program is ending");
+                return;
+            }
+            Log.info(quiesce ? "clients are sent away" : "clients are taken again");
+            if (quiesce) {
+                drain.quiesce(pooler.loop().now());
+                pooler.loop().after(Drain.ENDS_AFTER, endConnections);
+            } else {
+                drain.resume();
+            }
+            away = quiesce;
+            objection.accept(null);
+        });
+    }
+}
--- a/src/main/java/lupinvalve/cli/Rehearse.java
+++ b/src/main/java/lupinvalve/cli/Rehearse.java
@@ -26,7 +26,7 @@
         int served = 0;
         try (StandIns standIns = new StandIns()) {
             Daemon daemon = new Daemon(new NodeConfig(config.name(), "127.0.0.1:0", standIns.discovery(), config.seed(), config.cores(),
-                    config.memoryMb(), config.sockets(), config.known(), config.site()), OperatorConfig.NONE);
+                    config.memoryMb(), config.sockets(), config.known(), config.site(), null), OperatorConfig.NONE);
             daemon.start();
             try (Socket client = new Socket(daemon.address().getAddress(), daemon.address().getPort())) {
                 served = ask(client, config.site().settings().classes());
--- a/src/main/java/lupinvalve/cli/Serve.java
+++ b/src/main/java/lupinvalve/cli/Serve.java
@@ -1,5 +1,6 @@
 package lupinvalve.cli;
 
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import lupinvalve.config.OperatorConfig;
 import lupinvalve.log.Log;
@@ -17,7 +18,8 @@
         }
         Reload reload = new Reload(this);
         OperatorConfig operator = operator();
-        Daemon daemon = new Daemon(node(operator), operator);
+        String shared = System.getenv("TMPDIR");
+        Daemon daemon = new Daemon(node(operator), operator, shared == null || shared.isEmpty() ? null : Path.of(shared));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             // SIGTERM: what was taken is answered first, and that is no failure.
--- a/src/main/java/lupinvalve/config/NodeConfig.java
+++ b/src/main/java/lupinvalve/config/NodeConfig.java
@@ -4,9 +4,12 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import lupinvalve.discovery.ListReader;
+import lupinvalve.log.Log;
+import lupinvalve.net.Addresses;
 import lupinvalve.wire.SettingsReader;
 import lupinvalve.wire.WireException;
 
@@ -14,9 +17,10 @@
  * What the platform tells a pooler, decoded once.
  *
  * @param known the list as this pooler had it last
+ * @param operator where operators call, or null
  */
 public record NodeConfig(String name, String listen, String discovery, long seed, double cores, int memoryMb, int sockets,
-        ListReader.Listed known, SettingsReader.Site site) {
+        ListReader.Listed known, SettingsReader.Site site, InetSocketAddress operator) {
     private static final JsonFactory JSON = new JsonFactory();
 
     /**
@@ -34,6 +38,7 @@
         int sockets = 1024;
         ListReader.Listed known = new ListReader.Listed(0, true, List.of());
         SettingsReader.Site site = null;
+        InetSocketAddress operator = null;
         try (JsonParser in = JSON.createParser(file.toFile())) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException(file + ": not a JSON object");
@@ -47,6 +52,9 @@
                     case "discovery" -> discovery = in.getValueAsString();
                     case "seed" -> seed = seed(in.getValueAsString("0"));
                     case "known" -> known = new ListReader(List.of(), mysqlPort).read(in);
+                    case "operator" -> operator = in.currentToken() == JsonToken.VALUE_NULL ? null
+                            : address(file + ": operator", in.currentToken() == JsonToken.VALUE_STRING ? in.getText()
+                                    : String.valueOf(in.currentToken()));
                     case "settings" -> site = site(file, in);
                     case "limits" -> {
                         while (in.nextToken() == JsonToken.FIELD_NAME) {
@@ -72,7 +80,31 @@
         }
         // Clients hold a third of the descriptors at most for requests.
         return new NodeConfig(name, listen, discovery, seed, cores, memory, sockets, known,
-                site.withOpen(Math.max(1, sockets / 3)));
+                site.withOpen(Math.max(1, sockets / 3)), operator);
+    }
+
+    /** The same with the operators' address that a variable gives to this one process: it goes before the file's. */
+    public NodeConfig withOperator(String variable, String value) throws IOException {
+        if (value == null || value.isEmpty()) {
+            return this;
+        }
+        InetSocketAddress own = address(variable, value);
+        if (operator != null && !operator.equals(own)) {
+            Log.warn("operator: %s says %s, the configuration %s; the variable holds", variable, value, operator);
+        }
+        return new NodeConfig(name, listen, discovery, seed, cores, memoryMb, sockets, known, site, own);
+    }
+
+    private static InetSocketAddress address(String field, String value) throws IOException {
+        try {
+            InetSocketAddress address = Addresses.parse(value);
+            if (!address.isUnresolved()) {
+                return address;
+            }
+        } catch (IllegalArgumentException e) {
+            throw new IOException(field + ": " + value + " is no address and port", e);
+        }
+        throw new IOException(field + ": " + value + " is no literal address and port");
     }
 
     /** What is wrong in the settings is told with the file that holds them. */
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -11,6 +11,9 @@
 import lupinvalve.Routing;
 import lupinvalve.Routing.Ending;
 import lupinvalve.log.Log;
+import lupinvalve.upkeep.Drain;
+import lupinvalve.upkeep.Figures;
+import lupinvalve.upkeep.Maintenance;
 
 /**
  * The core: knows no wire. Owns the router, the requests and the attempts, turns what happens on sockets into the
@@ -21,6 +24,8 @@
     private static final int MOST = 8192;
     /** After a request's time, how long the router may take to end it before the core does. */
     private static final long OVERTIME = 10_000;
+    /** How often the figures of db nodes are counted anew; they may lag by 0.5 s. */
+    private static final long COUNT_PACE = 100_000;
 
     /**
      * What a front asks.
@@ -78,7 +83,13 @@
     private final Loop loop;
     private final Routing.Settings settings;
     private final Map<String, Backend> backends = new java.util.LinkedHashMap<>();
+    /** The list as discovery tells it, and the addresses of those of its db nodes that may be used. */
+    private final Map<String, Directory.Entry> listing = new HashMap<>();
     private final Map<String, Map<String, String>> addresses = new HashMap<>();
+    private final Maintenance maintenance;
+    private final Drain drain = new Drain();
+    private final Figures figures;
+    private Runnable informed = () -> { };
     private final Map<String, Held> byId = new HashMap<>();
     private final Set<String> named = new HashSet<>();
     private final Slots<Held> requests = new Slots<>(MOST);
@@ -93,6 +104,21 @@
     public Pooler(Loop loop, Routing.Settings settings) {
         this.loop = loop;
         this.settings = settings;
+        maintenance = new Maintenance(settings.rules().warmUpMicros());
+        figures = new Figures(settings.classes().stream().map(Routing.RequestClass::name).toList());
+    }
+
+    public Drain drain() {
+        return drain;
+    }
+
+    public Figures figures() {
+        return figures;
+    }
+
+    /** Runs {@code then} at the first news that discovery itself has given; before {@link #start}. */
+    public void onceInformed(Runnable then) {
+        informed = then;
     }
 
     public Loop loop() {
@@ -122,6 +148,18 @@
         router = new Router(seed, settings, loop.now(), first::add);
         listed(new Directory.News(Routing.ListForm.RESTORED, known));
         first.forEach(this::perform);
+        count();
+    }
+
+    /** Publishes the figures that follow from time as well as from events. */
+    private void count() {
+        int avoided = 0;
+        for (Directory.Entry entry : listing.values()) {
+            String node = entry.member().node();
+            avoided += maintenance.isOut(node) || router.avoids(node) ? 1 : 0;
+        }
+        figures.servers(listing.size(), avoided);
+        loop.after(COUNT_PACE, this::count);
     }
 
     // ---- what happens ----
@@ -137,6 +175,7 @@
     /** Takes a request; its ticket returns with the one final answer. Gives a handle for {@link #gone}. */
     public long request(Front front, long ticket, Ask ask) {
         if (requests.full()) {
+            figures.ended(ask.classIndex(), Figures.End.REFUSED);
             front.refused(ticket, settings.limits().maxRetryAfterMicros());
             return -1;
         }
@@ -145,6 +184,7 @@
         held.id = Long.toHexString(held.handle);
         byId.put(held.id, held);
         named.add(ask.id());
+        figures.inFlight(requests.size());
         long now = loop.now();
         long left = held.expires - now;
         long after = ask.afterMicros();
@@ -165,7 +205,7 @@
     public void gone(long handle) {
         Held held = requests.get(handle);
         if (held != null && !held.answered) {
-            close(held, "left");
+            close(held, "left", null);
             feed(new Routing.ClientGone(held.id));
         }
     }
@@ -191,7 +231,7 @@
                 marks.committed(held.ask.session(), position);
             }
             if (!held.answered) {
-                close(held, "served");
+                close(held, "served", Figures.End.SERVED);
                 held.front.served(held.ticket, answer, position, role);
             }
         }
@@ -206,25 +246,41 @@
 
     /** News of the list. */
     public void listed(Directory.News news) {
-        List<Routing.Member> members = new ArrayList<>();
-        if (news.form() == Routing.ListForm.FULL) {
+        if (news.form() == Routing.ListForm.UNAVAILABLE) {
+            Log.info("list: unavailable, the one held stays");
+        } else if (news.form() != Routing.ListForm.UPDATE) {
+            Log.info("list: %s, %d db nodes", news.form(), news.entries().size());
             // Each deploy brings new ids: those that have left must not pile up.
+            listing.clear();
             addresses.clear();
         }
         for (Directory.Entry entry : news.entries()) {
-            members.add(entry.member());
             if (entry.member().health() == Routing.Health.GONE) {
-                addresses.remove(entry.member().node());
+                listing.remove(entry.member().node());
             } else {
-                addresses.put(entry.member().node(), entry.addresses());
+                listing.put(entry.member().node(), entry);
             }
         }
-        if (news.form() == Routing.ListForm.UNAVAILABLE) {
-            Log.info("list: unavailable, the one held stays");
-        } else if (news.form() != Routing.ListForm.UPDATE) {
-            Log.info("list: %s, %d db nodes", news.form(), members.size());
+        tell(news.form(), news.entries());
+        if (news.form() == Routing.ListForm.FULL || news.form() == Routing.ListForm.UPDATE) {
+            informed.run();
+            informed = () -> { };
         }
-        feed(new Routing.Members(news.form(), members));
+    }
+
+    /** Tells the router of entries as maintenance has them, and drops what leads to those that are gone. */
+    private void tell(Routing.ListForm form, Iterable<Directory.Entry> entries) {
+        List<Routing.Member> members = new ArrayList<>();
+        for (Directory.Entry entry : entries) {
+            Routing.Member m = maintenance.told(entry.member());
+            members.add(m);
+            if (m.health() == Routing.Health.GONE) {
+                addresses.remove(m.node());
+            } else {
+                addresses.put(m.node(), entry.addresses());
+            }
+        }
+        feed(new Routing.Members(form, members));
         for (Routing.Member m : members) {
             if (m.health() == Routing.Health.GONE) {
                 backends.values().forEach(b -> b.closeIdle(m.node()));
@@ -232,6 +288,29 @@
         }
     }
 
+    /** Why an operator's call to take a db node out or back can't be taken, or null. */
+    public String objection(boolean takeOut, String node) {
+        return maintenance.objection(takeOut, node, listing.containsKey(node));
+    }
+
+    /** Takes over the operators' orders; nothing new goes to what is out by the time that this returns. */
+    public void maintain(Maintenance.Orders orders) {
+        List<Directory.Entry> changed = new ArrayList<>();
+        for (String node : maintenance.take(orders, loop.now())) {
+            Log.info("db node %s: %s by hand", node, maintenance.isOut(node) ? "taken out" : "called back");
+            if (listing.containsKey(node)) {
+                changed.add(listing.get(node));
+            }
+        }
+        if (router != null && !changed.isEmpty()) {
+            tell(Routing.ListForm.UPDATE, changed);
+        }
+    }
+
+    public Maintenance.Orders orders() {
+        return maintenance.orders();
+    }
+
     /** The program ends: requests that come from now on are answered by then. */
     public void lastAnswer(long atMicros) {
         lastAnswer = atMicros;
@@ -254,13 +333,14 @@
     private void overtime(Held held) {
         if (!held.answered) {
             Log.warn("request %s overdue: failed by the core", held.id);
-            close(held, "overdue");
+            close(held, "overdue", Figures.End.FAILED);
             held.front.failed(held.ticket);
             feed(new Routing.ClientGone(held.id));
         }
     }
 
-    private void close(Held held, String how) {
+    /** @param end what its client is told; null where the client has left */
+    private void close(Held held, String how, Figures.End end) {
         if (Log.debugs()) {
             Log.debug("%s %s %s after %d us, group %d, %d attempts, first out after %d us, given %d us", held.id,
                     settings.classes().get(held.ask.classIndex()).name(), how,
@@ -272,6 +352,10 @@
         requests.free(held.handle);
         byId.remove(held.id);
         named.remove(held.ask.id());
+        figures.inFlight(requests.size());
+        if (end != null) {
+            figures.ended(held.ask.classIndex(), end);
+        }
     }
 
     // ---- what the router wants ----
@@ -311,13 +395,13 @@
         } else if (action instanceof Routing.Refuse refuse) {
             Held held = byId.get(refuse.id());
             if (held != null) {
-                close(held, "refused");
+                close(held, "refused", Figures.End.REFUSED);
                 held.front.refused(held.ticket, refuse.retryAfterMicros());
             }
         } else if (action instanceof Routing.Fail fail) {
             Held held = byId.get(fail.id());
             if (held != null) {
-                close(held, "failed");
+                close(held, "failed", Figures.End.FAILED);
                 held.front.failed(held.ticket);
             }
         } else if (action instanceof Routing.Cancel cancel) {
--- /dev/null
+++ b/src/main/java/lupinvalve/door/Calls.java
@@ -0,0 +1,51 @@
+package lupinvalve.door;
+
+import java.util.function.Consumer;
+
+/** Reads an operator's line, and has it carried out. Nothing is decided here. */
+public final class Calls {
+    /** What calls are about. Called by the operators' address's threads; an answer may be given by any thread. */
+    public interface Pooler {
+        /** Why this process is not ready to serve, or null. */
+        String unready();
+
+        /** One figure a line. */
+        String figures();
+
+        /** Takes a db node out or back; the answer is why it can't be done, or null. */
+        void maintain(boolean takeOut, String id, Consumer<String> objection);
+
+        /** Sends clients away, or takes them again; the answer is why it can't be done, or null. */
+        void drain(boolean quiesce, Consumer<String> objection);
+    }
+
+    private final Pooler pooler;
+
+    public Calls(Pooler pooler) {
+        this.pooler = pooler;
+    }
+
+    /** Carries out a line; {@code answer} is given the whole answer, once. */
+    void take(String line, Consumer<String> answer) {
+        String text = line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
+        if (!text.chars().allMatch(c -> c >= ' ' && c < 127)) {
+            answer.accept("fail a line is printable ASCII\n");
+            return;
+        }
+        String[] words = text.strip().split(" +");
+        boolean named = words[0].equals("cordon") || words[0].equals("uncordon");
+        if (words.length != (named ? 2 : 1)) {
+            answer.accept(words[0].isEmpty() ? "fail no call\n"
+                    : "fail " + words[0] + (named ? " takes one id\n" : " takes nothing more\n"));
+            return;
+        }
+        Consumer<String> done = objection -> answer.accept(objection == null ? "ok\n" : "fail " + objection + "\n");
+        switch (words[0]) {
+            case "health" -> done.accept(pooler.unready());
+            case "counters" -> answer.accept("ok\n" + pooler.figures() + "eof\n");
+            case "cordon", "uncordon" -> pooler.maintain(named && words[0].equals("cordon"), words[1], done);
+            case "quiesce", "resume" -> pooler.drain(words[0].equals("quiesce"), done);
+            default -> answer.accept("fail no such call: " + words[0] + "\n");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/lupinvalve/handoff/OrdersFile.java
@@ -0,0 +1,142 @@
+package lupinvalve.handoff;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import lupinvalve.log.Log;
+import lupinvalve.upkeep.Maintenance.Orders;
+
+/**
+ * The operators' orders in a file that the two processes of an upgrade share. It is written whole beside the old one and
+ * renamed, under a lock, so a reader sees one state or the other. For one thread.
+ */
+public final class OrdersFile {
+    private static final JsonFactory JSON = new JsonFactory();
+    /** Longer than any file of ours: what is longer is not read. */
+    private static final long BYTES_MOST = 1 << 20;
+    private final Path file, beside, lock;
+    private byte[] seen = {};
+    private boolean reported;
+
+    /** @param stem path of the files, without their endings */
+    public OrdersFile(Path stem) {
+        file = stem.resolveSibling(stem.getFileName() + ".orders.json");
+        beside = stem.resolveSibling(stem.getFileName() + ".orders.new");
+        lock = stem.resolveSibling(stem.getFileName() + ".lock");
+    }
+
+    /**
+     * What the file holds where it has changed since it was last read or written, else null. Of one that is spoilt, what
+     * could be read stands beside what is held: a db node too many is out, and none that was taken out is used.
+     */
+    public Orders changed(Orders held) {
+        byte[] bytes;
+        try {
+            bytes = Files.size(file) > BYTES_MOST ? new byte[] {'!'} : Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            // Nobody has given an order yet, or somebody cleared the folder: what is held stays.
+            return null;
+        } catch (IOException e) {
+            report("can't be read: " + e);
+            return null;
+        }
+        if (Arrays.equals(bytes, seen)) {
+            return null;
+        }
+        seen = bytes;
+        return read(bytes, held);
+    }
+
+    /** Makes a change to what the file holds; it is in the file when this returns. */
+    public Orders change(Orders held, UnaryOperator<Orders> change) throws IOException {
+        // The lock ends with the channel.
+        try (FileChannel channel = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            channel.lock();
+            Orders other = changed(held);
+            Orders next = change.apply(other == null ? held : other);
+            byte[] bytes = bytes(next);
+            Files.write(beside, bytes);
+            Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            seen = bytes;
+            reported = false;
+            return next;
+        }
+    }
+
+    private Orders read(byte[] bytes, Orders held) {
+        Set<String> out = new HashSet<>();
+        Map<String, Long> back = new HashMap<>();
+        try (JsonParser in = JSON.createParser(bytes)) {
+            expect(in, in.nextToken() == JsonToken.START_OBJECT);
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String field = in.currentName();
+                boolean outs = field.equals("out");
+                expect(in, outs || field.equals("back"));
+                expect(in, in.nextToken() == (outs ? JsonToken.START_ARRAY : JsonToken.START_OBJECT));
+                for (JsonToken t = in.nextToken(); t != null && !t.isStructEnd(); t = in.nextToken()) {
+                    if (outs) {
+                        expect(in, t == JsonToken.VALUE_STRING);
+                        out.add(in.getText());
+                    } else {
+                        String id = in.currentName();
+                        expect(in, in.nextToken() == JsonToken.VALUE_NUMBER_INT);
+                        back.put(id, in.getLongValue());
+                    }
+                }
+            }
+            expect(in, in.currentToken() == JsonToken.END_OBJECT && in.nextToken() == null);
+            reported = false;
+            return new Orders(out, back);
+        } catch (IOException e) {
+            report("is spoilt, what could be read is joined with what is held: " + e.getMessage());
+            return held.and(new Orders(out, Map.of()));
+        }
+    }
+
+    private static void expect(JsonParser in, boolean holds) throws IOException {
+        if (!holds) {
+            throw new IOException("unexpected " + in.currentToken() + " at byte " + in.currentLocation().getByteOffset());
+        }
+    }
+
+    private static byte[] bytes(Orders orders) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = JSON.createGenerator(bytes)) {
+            out.writeStartObject();
+            out.writeArrayFieldStart("out");
+            for (String id : orders.out()) {
+                out.writeString(id);
+            }
+            out.writeEndArray();
+            out.writeObjectFieldStart("back");
+            for (Map.Entry<String, Long> e : orders.back().entrySet()) {
+                out.writeNumberField(e.getKey(), e.getValue());
+            }
+            out.writeEndObject();
+            out.writeEndObject();
+        }
+        return bytes.toByteArray();
+    }
+
+    private void report(String what) {
+        if (!reported) {
+            Log.error("%s %s", file, what);
+            reported = true;
+        }
+    }
+}
--- a/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -44,7 +44,6 @@
     private final Map<Link, Client> byLink = new IdentityHashMap<>();
     private final Spare<Client> spare;
     private long waiting;
-    private boolean closing;
 
     private enum At { LOGIN, SWITCHED, READY }
 
@@ -107,7 +106,7 @@
     @Override
     public void opened(Link link) {
         spare.makeRoom();
-        if (clients.full() || closing) {
+        if (clients.full()) {
             link.write(new Out().int1(0xFF).fixed(1040, 2).text("Too many connections").packet(0));
             link.finish();
             return;
@@ -116,6 +115,9 @@
         client.slot = clients.put(client);
         byLink.put(link, client);
         spare.opened(client);
+        if (ends()) {
+            pooler.loop().after(LAST_PATIENCE, () -> part(client));
+        }
         random.nextBytes(client.nonce);
         for (int i = 0; i < 20; i++) {
             // Clients read it as text: no zero byte may end it early.
@@ -488,23 +490,27 @@
         if (client.busy || clients.get(client.slot) != client) {
             return;
         }
-        if (closing) {
+        if (ends()) {
             part(client);
         } else {
             spare.rests(client);
         }
     }
 
-    /** Ends a connection as the program ends, as soon as its client is not using it. */
+    /** Whether connections end as soon as nothing is due on them. */
+    private boolean ends() {
+        return pooler.drain().ends(pooler.loop().now());
+    }
+
+    /** Ends a connection as clients are sent away, as soon as its client is not using it. */
     private void part(Client client) {
-        if (clients.get(client.slot) == client && !client.busy && !retire(client, LAST_PATIENCE)) {
+        if (ends() && clients.get(client.slot) == client && !client.busy && !retire(client, LAST_PATIENCE)) {
             pooler.loop().after(AGAIN, () -> part(client));
         }
     }
 
-    /** Closes connections as soon as nothing is due on them. */
+    /** Connections end as soon as nothing is due on them, as long as the drain says so. */
     public void close() {
-        closing = true;
         clients.each(this::part);
     }
 
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -2,6 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
@@ -10,6 +16,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -73,15 +80,28 @@
             return address;
         }
 
-        /** Takes no new connections; those open stay. */
+        /** Takes no new connections; those open stay, and those that wait to be taken are. */
         public void stop() {
-            threads.execute(acceptor::unbind);
+            stop(() -> { });
+        }
+
+        /** The same; {@code then} runs on the core thread once it is done. */
+        public void stop(Runnable then) {
+            threads.execute(() -> {
+                acceptor.unbind();
+                loop.post(then);
+            });
         }
     }
 
     /** Hands each connection's link to {@code accept}, which gives its events; it runs on MINA's thread. */
     public Listener listen(InetSocketAddress address, Function<IoSession, Link> accept) throws IOException {
-        NioSocketAcceptor acceptor = new NioSocketAcceptor(threads, processor);
+        return listen(address, false, accept);
+    }
+
+    private Listener listen(InetSocketAddress address, boolean shared, Function<IoSession, Link> accept)
+            throws IOException {
+        NioSocketAcceptor acceptor = new Acceptor(threads, processor, shared);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.setCloseOnDeactivation(false);
@@ -99,7 +119,68 @@
     /** Listens with the same events for all connections. */
     public Listener listen(InetSocketAddress address, java.util.function.Supplier<Framer> framers,
             Link.Events events) throws IOException {
-        return listen(address, session -> new Link(loop, framers.get(), events));
+        return listen(address, false, framers, events);
+    }
+
+    /**
+     * Listens with the same events for all connections.
+     *
+     * @param shared whether another process may listen on the address at the same time
+     */
+    public Listener listen(InetSocketAddress address, boolean shared, java.util.function.Supplier<Framer> framers,
+            Link.Events events) throws IOException {
+        return listen(address, shared, session -> new Link(loop, framers.get(), events));
+    }
+
+    /**
+     * MINA's acceptor with two more duties: the address may be shared between the two processes of an upgrade, and the
+     * connections that wait to be taken when it closes are taken first, since the system would reset them.
+     */
+    private static final class Acceptor extends NioSocketAcceptor {
+        private final boolean shared;
+        private boolean took;
+
+        Acceptor(Executor threads, SimpleIoProcessorPool<NioSession> processor, boolean shared) {
+            super(threads, processor);
+            this.shared = shared;
+        }
+
+        @Override
+        protected ServerSocketChannel open(SocketAddress address) throws Exception {
+            if (!shared) {
+                return super.open(address);
+            }
+            ServerSocketChannel channel = ServerSocketChannel.open();
+            try {
+                channel.configureBlocking(false);
+                channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+                channel.bind(address, getBacklog());
+                channel.register(selector, SelectionKey.OP_ACCEPT);
+                return channel;
+            } catch (IOException | RuntimeException e) {
+                channel.close();
+                throw e;
+            }
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> by, ServerSocketChannel handle) throws Exception {
+            NioSession session = super.accept(by, handle);
+            took = session != null;
+            return session;
+        }
+
+        @Override
+        protected void close(ServerSocketChannel handle) throws Exception {
+            took = true;
+            for (int i = 0; i < BACKLOG && took; i++) {
+                // MINA takes a connection only where its selector has just seen one.
+                selector.selectNow();
+                processHandles(new ArrayList<>(List.of(handle)).iterator());
+            }
+            super.close(handle);
+        }
     }
 
     @Override
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -453,6 +453,9 @@
     protected final void leaving(Conn conn) {
         conn.started = true;
         conn.before = conn.link.handed();
+        if (!conn.job.probe()) {
+            pooler.figures().attempted();
+        }
     }
 
     /** Whether the job's request has been written, so that what comes now answers it. */
--- a/src/main/java/lupinvalve/pg/PgFront.java
+++ b/src/main/java/lupinvalve/pg/PgFront.java
@@ -14,6 +14,7 @@
 import lupinvalve.net.Framer;
 import lupinvalve.net.Link;
 import lupinvalve.net.Spare;
+import lupinvalve.upkeep.Figures;
 
 /** Speaks PostgreSQL's protocol to clients: simple queries, pipelined or not, answered in order. Core thread only. */
 public final class PgFront implements Front, Link.Events {
@@ -33,7 +34,6 @@
     private final Slots<Reply> replies;
     private final IdentityHashMap<Link, Client> byLink = new IdentityHashMap<>();
     private final Spare<Client> spare;
-    private boolean closing;
     private final Set<Link> extra = Collections.newSetFromMap(new IdentityHashMap<>());
     private long waiting;
 
@@ -77,7 +77,7 @@
     @Override
     public void opened(Link link) {
         spare.makeRoom();
-        if (clients.full() || closing) {
+        if (clients.full()) {
             // Answered once it has spoken: closing on unread bytes would reset the connection before the answer.
             extra.add(link);
             turnAway(link, extra.size() > EXTRA_MOST ? 0 : EXTRA_WAIT);
@@ -87,6 +87,14 @@
         client.slot = clients.put(client);
         byLink.put(link, client);
         spare.opened(client);
+        if (ends()) {
+            pooler.loop().after(LAST_PATIENCE, () -> part(client));
+        }
+    }
+
+    /** Whether connections end as soon as nothing is due on them. */
+    private boolean ends() {
+        return pooler.drain().ends(pooler.loop().now());
     }
 
     /** Ends a connection past the bound that has said nothing; one that has is told why by {@link #messages}. */
@@ -157,8 +165,8 @@
         Client client = byLink.get(link);
         if (client == null) {
             if (extra.remove(link)) {
-                link.write(PgMessages.error("FATAL", closing ? "57P03" : "53300", closing ? "shutting down"
-                        : "too many clients", advice(pooler.settings().limits().maxRetryAfterMicros())));
+                link.write(PgMessages.error("FATAL", "53300", "too many clients",
+                        advice(pooler.settings().limits().maxRetryAfterMicros())));
                 link.finish();
             }
             return;
@@ -221,13 +229,12 @@
         }
         byte[] text = Arrays.copyOfRange(message, 5, message.length - 1);
         String word = firstWord(text);
-        if (word.isEmpty()) {
+        if (word.isEmpty() && !pooler.drain().welcomes()) {
+            answer(client, PgMessages.error("ERROR", "57P03", "draining: clients are sent away", null), PgMessages.READY);
+        } else if (word.isEmpty()) {
             answer(client, PgMessages.EMPTY, PgMessages.READY);
         } else if (word.equals("SET") || word.equals("RESET") || word.equals("DISCARD")) {
             answer(client, PgMessages.texts('C', word), PgMessages.READY);
-        } else if (client.due.size() >= PIPELINED_MOST || replies.full()
-                || waiting + text.length > WAITING_MOST) {
-            answer(client, refusal(pooler.settings().limits().maxRetryAfterMicros()), PgMessages.READY);
         } else {
             ask(client, new Statement(text), atMicros);
         }
@@ -239,6 +246,11 @@
             if (pooler.named(ask.id())) {
                 throw new Statement.Unclear("field id names an open request");
             }
+            if (client.due.size() >= PIPELINED_MOST || replies.full() || waiting + statement.size() > WAITING_MOST) {
+                pooler.figures().ended(ask.classIndex(), Figures.End.REFUSED);
+                answer(client, refusal(pooler.settings().limits().maxRetryAfterMicros()), PgMessages.READY);
+                return;
+            }
             Reply reply = new Reply(client);
             reply.size = statement.size();
             waiting += reply.size;
@@ -314,24 +326,23 @@
         }
         if (client.last) {
             end(client);
-        } else if (closing) {
+        } else if (ends()) {
             part(client);
         } else {
             spare.rests(client);
         }
     }
 
-    /** Ends a connection as the program ends, as soon as its client is not using it. */
+    /** Ends a connection as clients are sent away, as soon as its client is not using it. */
     private void part(Client client) {
-        if (clients.get(client.slot) == client && client.due.isEmpty() && !retire(client, LAST_PATIENCE)) {
+        if (ends() && clients.get(client.slot) == client && client.due.isEmpty() && !retire(client, LAST_PATIENCE)) {
             pooler.loop().after(AGAIN, () -> part(client));
         }
     }
 
-    /** Closes connections as soon as nothing is due on them. */
+    /** Connections end as soon as nothing is due on them, as long as the drain says so. */
     public void close() {
-        closing = true;
-        clients.each(this::flush);
+        clients.each(this::part);
     }
 
     /** Connections that have not ended yet. */
--- a/src/test/java/lupinvalve/net/EndsTest.java
+++ b/src/test/java/lupinvalve/net/EndsTest.java
@@ -64,11 +64,17 @@
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
             if (protocol == Protocol.PG) {
                 PgFront front = new PgFront(pooler, MOST);
-                closeFront = front::close;
+                closeFront = () -> {
+                    pooler.drain().leave();
+                    front.close();
+                };
                 listener = net.listen(any, session -> link(front.framer(), front));
             } else {
                 MysqlFront front = new MysqlFront(pooler, MOST, "portal", "towel");
-                closeFront = front::close;
+                closeFront = () -> {
+                    pooler.drain().leave();
+                    front.close();
+                };
                 listener = net.listen(any, session -> link(front.framer(), front));
             }
             loop.start();
--- a/src/test/java/lupinvalve/stories/World.java
+++ b/src/test/java/lupinvalve/stories/World.java
@@ -44,6 +44,11 @@
     }
 
     public World(int sockets, OperatorConfig operator, DbNode... nodes) throws Exception {
+        this(sockets, operator, null, nodes);
+    }
+
+    /** @param shared folder for operators' orders, with an address for their calls; null for neither */
+    public World(int sockets, OperatorConfig operator, Path shared, DbNode... nodes) throws Exception {
         this.nodes = List.of(nodes);
         thread(() -> {
             while (true) {
@@ -59,11 +64,36 @@
                 }
             }
         });
+        daemon = daemon(config(discovery, sockets), operator, shared);
+        daemon.start();
+    }
+
+    /** The same pooler once more: with the same address and folder, and a door of its own. */
+    Daemon successor(Path shared) throws Exception {
+        return daemon(config(discovery, 1024).replace("127.0.0.1:0", "127.0.0.1:" + daemon.address().getPort()),
+                OperatorConfig.NONE, shared);
+    }
+
+    private static Daemon daemon(String config, OperatorConfig operator, Path shared) throws IOException {
         Path file = Files.createTempFile("lupinvalve", ".json");
-        Files.writeString(file, config(discovery, sockets));
-        daemon = new Daemon(NodeConfig.read(file, null), operator);
+        Files.writeString(file, shared == null ? config
+                : config.replaceFirst("\\{", "{\"operator\": \"127.0.0.1:00\","));
+        Daemon daemon = new Daemon(NodeConfig.read(file, null), operator, shared);
         Files.delete(file);
-        daemon.start();
+        return daemon;
+    }
+
+    /** What a call to the operators' address is answered. */
+    static String call(Daemon daemon, String line) throws IOException {
+        try (Socket socket = new Socket(daemon.doorAddress().getAddress(), daemon.doorAddress().getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write((line + "\n").getBytes(UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), UTF_8);
+        }
+    }
+
+    String call(String line) throws IOException {
+        return call(daemon, line);
     }
 
     /** The platform's file, with discovery at a port. */
--- /dev/null
+++ b/src/test/java/lupinvalve/upkeep/MaintenanceTest.java
@@ -0,0 +1,106 @@
+package lupinvalve.upkeep;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.Set;
+import lupinvalve.Routing;
+import lupinvalve.upkeep.Maintenance.Orders;
+import org.junit.jupiter.api.Test;
+
+class MaintenanceTest {
+    private static final long WARM_UP = 10_000_000, NOW = 1_000_000_000;
+    private final Maintenance maintenance = new Maintenance(WARM_UP);
+
+    private static Routing.Member member(String id, Routing.Health health, long born) {
+        return new Routing.Member(id, 1, 0, health, true, born);
+    }
+
+    private void order(boolean out, String id, long now) {
+        maintenance.take(maintenance.orders().with(out, id, now), now);
+    }
+
+    @Test
+    void whatIsOutIsGoneWhateverIsListed() {
+        order(true, "a", NOW);
+        for (Routing.Health listed : Routing.Health.values()) {
+            assertEquals(Routing.Health.GONE, maintenance.told(member("a", listed, NOW + 5)).health());
+        }
+        Routing.Member other = member("b", Routing.Health.LIVE, 7);
+        assertSame(other, maintenance.told(other));
+    }
+
+    @Test
+    void oneCallBackUndoesAnyNumberOfCallsOutAndStartsItCold() {
+        order(true, "a", NOW);
+        order(true, "a", NOW + 1);
+        order(false, "a", NOW + 2);
+        Routing.Member told = maintenance.told(member("a", Routing.Health.LIVE, NOW + 1));
+        assertEquals(Routing.Health.LIVE, told.health());
+        assertEquals(NOW + 2, told.bornMicros());
+        // One that starts once more is as cold as discovery says.
+        assertEquals(NOW + 3, maintenance.told(member("a", Routing.Health.LIVE, NOW + 3)).bornMicros());
+        // A second call back changes nothing, least of all the time.
+        order(false, "a", NOW + 9);
+        assertEquals(NOW + 2, maintenance.told(member("a", Routing.Health.LIVE, 0)).bornMicros());
+    }
+
+    @Test
+    void callsBackAreForgottenOnceTheirDbNodesAreWarm() {
+        order(true, "a", NOW);
+        order(false, "a", NOW);
+        order(true, "b", NOW + WARM_UP + 1);
+        assertEquals(Map.of(), maintenance.orders().back());
+        assertEquals(0, maintenance.told(member("a", Routing.Health.LIVE, 0)).bornMicros());
+    }
+
+    @Test
+    void idsThatNobodyHasAreTurnedDownUnlessTheyAreOut() {
+        assertNotNull(maintenance.objection(true, "a", false));
+        assertNotNull(maintenance.objection(false, "a", false));
+        assertNull(maintenance.objection(true, "a", true));
+        assertNull(maintenance.objection(false, "a", true));
+        order(true, "a", NOW);
+        assertNull(maintenance.objection(false, "a", false), "it left the list while it was out");
+        for (int i = 1; i < Maintenance.MOST; i++) {
+            order(true, "n" + i, NOW);
+        }
+        assertNotNull(maintenance.objection(true, "one too many", true));
+        assertNull(maintenance.objection(true, "n7", true), "it is out already");
+    }
+
+    @Test
+    void onlyWhatHasChangedIsToldAnew() {
+        assertEquals(Set.of("a", "b"), maintenance.take(new Orders(Set.of("a", "b"), Map.of()), NOW));
+        assertEquals(Set.of(), maintenance.take(new Orders(Set.of("a", "b"), Map.of()), NOW));
+        assertEquals(Set.of("b", "c"), maintenance.take(new Orders(Set.of("a", "c"), Map.of("b", NOW)), NOW));
+        assertTrue(maintenance.isOut("c"));
+        assertFalse(maintenance.isOut("b"));
+    }
+
+    @Test
+    void joinedOrdersKeepOutWhatIsOutByEither() {
+        Orders joined = new Orders(Set.of("a"), Map.of("b", 5L, "c", 6L)).and(new Orders(Set.of("b"), Map.of("c", 9L)));
+        assertEquals(new Orders(Set.of("a", "b"), Map.of("c", 9L)), joined);
+    }
+
+    @Test
+    void drainSaysNoAtOnceAndEndsConnectionsOnceNewOnesHaveStopped() {
+        Drain drain = new Drain();
+        assertTrue(drain.welcomes() && !drain.ends(NOW));
+        drain.quiesce(NOW);
+        drain.quiesce(NOW + 400_000);
+        assertFalse(drain.welcomes() || drain.ends(NOW + 300_000));
+        assertTrue(drain.ends(NOW + Drain.ENDS_AFTER), "counted from the first call");
+        drain.resume();
+        assertTrue(drain.welcomes() && !drain.ends(NOW + 9_000_000));
+        drain.leave();
+        drain.resume();
+        assertTrue(drain.ends(NOW), "a program that ends does not go back to work");
+    }
+}
