--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -35,9 +35,9 @@
 [ "$heap" -le 112 ] || heap=112
 export MALLOC_ARENA_MAX=2
 # Where operators have an address, two of these run beside each other during an upgrade, within the same limit: the heap then
-# starts small, its part for new objects stays small, and what is free goes back.
+# starts small and grows where it must, and its part for new objects stays small.
 start="-Xms${heap}m"
-[ -z "$NODE_OPERATOR" ] || start="-Xms16m -Xmn10m -XX:MinHeapFreeRatio=10 -XX:MaxHeapFreeRatio=25"
+[ -z "$NODE_OPERATOR" ] || start="-Xms24m -Xmn10m"
 # What the build's rehearsal wrote down of the classes; a JVM that can't use it reads them from the jar as ever.
 archive=target/lupinvalve.jsa
 [ -r "$archive" ] && set -- "-XX:SharedArchiveFile=$archive" -Xlog:cds=off || set --
--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import lupinvalve.Routing;
@@ -16,7 +18,6 @@
 import lupinvalve.discovery.ListReader;
 import lupinvalve.door.Calls;
 import lupinvalve.door.Door;
-import lupinvalve.handoff.Incumbent;
 import lupinvalve.log.Log;
 import lupinvalve.mysql.MysqlBackend;
 import lupinvalve.mysql.MysqlFront;
@@ -59,7 +60,7 @@
     private Net.Listener mysqlListener;
     private Operations operations;
     private Door door;
-    private Incumbent incumbent;
+    private final List<Pool> pools = new ArrayList<>();
     private StoreFile file;
     private Replicator replicator;
 
@@ -82,11 +83,11 @@
         front = new PgFront(pooler, clients);
         Pool.Bounds bounds = new Pool.Bounds(Math.min(480, sockets * 4 / 9) / parts, config.site().connectMicros(),
                 config.site().keepaliveMicros() * 7 / 10, PROBE);
-        pooler.backend(PgFront.PROTOCOL, new PgBackend(net, pooler, bounds, "api", "ledger"));
+        backend(PgFront.PROTOCOL, new PgBackend(net, pooler, bounds, "api", "ledger"));
         if (operator.mysql() != null) {
             OperatorConfig.Mysql m = operator.mysql();
             mysql = new MysqlFront(pooler, clients, m.user(), m.password());
-            pooler.backend(MysqlFront.PROTOCOL,
+            backend(MysqlFront.PROTOCOL,
                     new MysqlBackend(net, pooler, bounds, m.nodeUser(), m.nodePassword(), m.database()));
         }
         pooler.directory(directory());
@@ -94,12 +95,17 @@
             // Poolers of other names may share the folder where it is no pooler's own.
             Path stem = shared == null ? null
                     : shared.resolve("lupinvalve-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
-            operations = new Operations(pooler, stem, this::endConnections);
-            incumbent = stem == null ? null : new Incumbent(stem);
+            operations = new Operations(pooler, stem, this::endConnections,
+                    another -> pools.forEach(pool -> pool.beside(another)));
             door = new Door(new Calls(operations));
         }
     }
 
+    private void backend(String protocol, Pool pool) {
+        pools.add(pool);
+        pooler.backend(protocol, pool);
+    }
+
     private void endConnections() {
         front.close();
         if (mysql != null) {
@@ -204,19 +210,16 @@
             replicator.listen(Addresses.parse(operator.store().listen()));
             loop.post(() -> operator.store().peers().forEach(peer -> replicator.peer(Addresses.parse(peer))));
         }
-        if (incumbent != null && incumbent.another()) {
+        if (operations != null && operations.succeeded()) {
             // Somebody serves meanwhile, so there is time to learn what has changed since the list was written down.
             informed.await(INFORMED_MILLIS, TimeUnit.MILLISECONDS);
         }
-        boolean shared = incumbent != null;
+        boolean shared = operations != null;
         if (mysql != null && operator.mysql().listen() != null) {
             mysqlListener = net.listen(Addresses.parse(operator.mysql().listen()), shared, mysql::framer, mysql);
             Log.info("%s speaks MySQL on %s", config.name(), mysqlListener.address());
         }
         listener = net.listen(Addresses.parse(config.listen()), shared, front::framer, front);
-        if (incumbent != null) {
-            incumbent.serves();
-        }
         if (operations != null) {
             operations.serves(true);
             Log.info("%s answers operators on %s", config.name(), door.address());
@@ -257,7 +260,7 @@
      * the program, and the wait of those that come late is cut to that.
      */
     public void drain(Runnable then) {
-        boolean succeeded = incumbent != null && incumbent.another();
+        boolean succeeded = operations != null && operations.succeeded();
         loop.post(() -> {
             Log.info("ending%s: %d requests, %d clients", succeeded ? " after a successor's start" : "", pooler.open(),
                     front.open());
--- a/src/main/java/lupinvalve/cli/Operations.java
+++ b/src/main/java/lupinvalve/cli/Operations.java
@@ -9,6 +9,7 @@
 import java.util.function.UnaryOperator;
 import lupinvalve.core.Pooler;
 import lupinvalve.door.Calls;
+import lupinvalve.handoff.Incumbent;
 import lupinvalve.handoff.OrdersFile;
 import lupinvalve.log.Log;
 import lupinvalve.upkeep.Drain;
@@ -21,8 +22,12 @@
 final class Operations implements Calls.Pooler {
     /** How often the other process's orders are looked for: they bind 250 ms after its yes. */
     private static final long LOOK_MILLIS = 80;
+    /** How many looks later it is looked whether the other process runs. */
+    private static final int LOOKS = 4;
     private final Pooler pooler;
     private final OrdersFile file;
+    private final Incumbent incumbent;
+    private final Consumer<Boolean> beside;
     private final Runnable endConnections;
     private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor(work -> {
         Thread thread = new Thread(null, work, "orders", 256 << 10);
@@ -30,15 +35,20 @@
         return thread;
     });
     private volatile boolean serving, away;
+    private int looks;
+    private boolean accompanied;
     /** The worker's: the orders as they stand. */
     private Orders orders = Orders.NONE;
 
     /**
      * @param stem path of the files that two processes share, without their endings; null for none
      * @param endConnections ends clients' connections as the drain allows; on the core thread
+     * @param beside is told whether another process of this pooler runs; on the core thread
      */
-    Operations(Pooler pooler, Path stem, Runnable endConnections) {
+    Operations(Pooler pooler, Path stem, Runnable endConnections, Consumer<Boolean> beside) {
         this.pooler = pooler;
+        this.beside = beside;
+        incumbent = stem == null ? null : new Incumbent(stem);
         this.endConnections = endConnections;
         file = stem == null ? null : new OrdersFile(stem);
     }
@@ -48,6 +58,7 @@
         if (file == null) {
             return;
         }
+        incumbent.starts();
         Orders left = file.changed(orders);
         if (left != null) {
             orders = left;
@@ -62,10 +73,23 @@
 
     /** Whether this process takes clients: not before its port is open, nor once it ends. */
     void serves(boolean takesClients) {
+        if (takesClients && incumbent != null) {
+            incumbent.serves();
+        }
         serving = takesClients;
     }
 
+    /** Whether another process of this pooler serves. */
+    boolean succeeded() {
+        return incumbent != null && incumbent.another();
+    }
+
     private void look() {
+        if (looks++ % LOOKS == 0 && incumbent.accompanied() != accompanied) {
+            accompanied = !accompanied;
+            boolean now = accompanied;
+            pooler.loop().post(() -> beside.accept(now));
+        }
         Orders other = file.changed(orders);
         if (other != null) {
             orders = other;
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -233,8 +233,10 @@
         }
         Held held = a.of;
         // What an answer tells at its end must be known first where it decides: whether the read is fresh enough, or
-        // which token the session gets.
-        if (held.token > 0 || access(held) == Routing.Access.WRITE) {
+        // which token the session gets where this pooler keeps it.
+        boolean keepsToken = marks != Marks.NONE
+                || settings.replication().tokens() == Routing.TokenSource.REMEMBERED;
+        if (held.token > 0 || keepsToken && access(held) == Routing.Access.WRITE) {
             return Pass.KEEP;
         }
         held.passing = a;
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -44,6 +44,7 @@
     private static final long FLUSH = 1_000_000;
 
     private final Loop loop;
+    private final Room memory;
     private final Framer framer;
     private final Events events;
     // MINA's side.
@@ -69,6 +70,11 @@
     private boolean over;
 
     Link(Loop loop, Framer framer, Events events) {
+        this(loop, framer, events, new Room(Long.MAX_VALUE));
+    }
+
+    Link(Loop loop, Framer framer, Events events, Room memory) {
+        this.memory = memory;
         this.loop = loop;
         this.framer = framer;
         this.events = events;
@@ -114,24 +120,25 @@
         }
         int more = in.remaining();
         long written = from.getWrittenBytes();
-        if (length + more > kept.length) {
-            kept = Arrays.copyOf(kept, Math.max(length + more, Math.min(kept.length * 2, kept.length + 65536)));
-        }
-        in.get(kept, length, more);
-        length += more;
         List<byte[]> messages = new ArrayList<>(2);
         String fault = null;
         try {
+            if (length + more > kept.length) {
+                grow(Math.max(length + more, Math.min(kept.length * 2, kept.length + 65536)));
+            }
+            in.get(kept, length, more);
+            length += more;
             int rest = framer.cut(kept, 0, length, messages);
             System.arraycopy(kept, rest, kept, 0, length - rest);
             length -= rest;
             if (length == 0 && kept.length > 4096) {
                 // Guards against many connections each keeping the room of their largest message.
-                kept = new byte[0];
+                clear();
             }
         } catch (Framer.Malformed e) {
             fault = e.getMessage();
             deaf = true;
+            clear();
         }
         long at = loop.now();
         String why = fault;
@@ -163,6 +170,19 @@
         });
     }
 
+    private void grow(int size) throws Framer.Malformed {
+        if (!memory.take(size - kept.length)) {
+            throw new Framer.Malformed("no room for so many long messages at once");
+        }
+        kept = Arrays.copyOf(kept, size);
+    }
+
+    private void clear() {
+        memory.take(-kept.length);
+        kept = new byte[0];
+        length = 0;
+    }
+
     /** Something has been written whole to the socket. */
     void sent(IoSession to) {
         Runnable then = room;
@@ -180,6 +200,8 @@
     }
 
     void ended() {
+        clear();
+        deaf = true;
         loop.post(this::end);
     }
 
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -30,8 +30,11 @@
 public final class Net implements Dialer {
     private static final AttributeKey LINK = new AttributeKey(Net.class, "link");
     private static final int BACKLOG = 512;
+    /** Of messages that are not whole: a third of the least heap that a pooler is given. */
+    private static final long UNFINISHED_MOST = 14 << 20;
 
     private final Loop loop;
+    private final Room memory = new Room(UNFINISHED_MOST);
     private final Executor threads = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(null, work, "net", 256 << 10);
         thread.setDaemon(true);
@@ -129,7 +132,7 @@
      */
     public Listener listen(InetSocketAddress address, boolean shared, java.util.function.Supplier<Framer> framers,
             Link.Events events) throws IOException {
-        return listen(address, shared, session -> new Link(loop, framers.get(), events));
+        return listen(address, shared, session -> new Link(loop, framers.get(), events, memory));
     }
 
     /**
@@ -185,7 +188,7 @@
 
     @Override
     public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
-        Link link = new Link(loop, framer, events);
+        Link link = new Link(loop, framer, events, memory);
         if (address.isUnresolved() || connector.isDisposing()) {
             link.ended();
             return link;
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -14,6 +14,7 @@
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Slots;
 import lupinvalve.log.Log;
+import lupinvalve.upkeep.Shares;
 
 /**
  * Connections to db nodes, one request on each at a time. A protocol extends it with what it says and hears. Core
@@ -119,6 +120,7 @@
     private final Map<String, ArrayDeque<Conn>> idle = new HashMap<>();
     private final Map<Long, Conn> byAttempt = new HashMap<>();
     private final Trust trust;
+    private int most;
     /** For how long a connection may rest while another to its db node has been used since. */
     private final long surplus;
 
@@ -128,6 +130,7 @@
         this.bounds = bounds;
         loop = pooler.loop();
         conns = new Slots<>(bounds.connections());
+        most = bounds.connections();
         trust = new Trust(bounds.idleMicros());
         surplus = Math.max(Math.min(SURPLUS_LEAST, bounds.idleMicros()),
                 bounds.idleMicros() / pooler.settings().routers());
@@ -156,6 +159,11 @@
     /** The connection ended or is given up: what is already known of the job's end, or null. */
     protected abstract Ending known(Conn conn);
 
+    /** The connection's job is over, however it ended. */
+    protected void released(Conn conn) {
+        // Nothing to put away.
+    }
+
     // ---- what a protocol calls ----
 
     /** The db node takes requests on this connection from now on. */
@@ -255,7 +263,7 @@
     }
 
     private Conn open(Job job, String address) {
-        if (conns.full() && !evict()) {
+        if (conns.size() >= most && !evict()) {
             Log.warn("no connection free for %s", job.node);
             return null;
         }
@@ -340,6 +348,15 @@
         }
         conn.job = null;
         conn.started = false;
+        released(conn);
+    }
+
+    /** Another process of this pooler runs, or no longer: both keep within one limit on descriptors. */
+    public final void beside(boolean another) {
+        most = Shares.connections(bounds.connections(), another);
+        while (conns.size() > most && evict()) {
+            // What rests goes first; what is busy is not ended for room.
+        }
     }
 
     private void rest(Conn conn) {
--- a/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/src/main/java/lupinvalve/pg/PgBackend.java
@@ -12,6 +12,7 @@
 import lupinvalve.net.Framer;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Pool;
+import lupinvalve.upkeep.Shares;
 
 /** Speaks PostgreSQL's protocol to db nodes: simple queries only. */
 public final class PgBackend extends Pool {
@@ -19,6 +20,8 @@
     private static final int ROW_MOST = (4 << 20) + 64, ANSWER_MOST = ROW_MOST + (32 << 10);
     private static final byte[] PROBE = PgMessages.texts('Q', "SHOW vitals");
     private final byte[] startup;
+    /** Bytes of long answers that are held whole. */
+    private long kept;
 
     public PgBackend(Dialer net, Pooler pooler, Bounds bounds, String user, String database) {
         super(net, pooler, bounds);
@@ -37,6 +40,7 @@
         /** What is still to come of a row in pieces, and whether it is passed on meanwhile. */
         private int left;
         private boolean passing;
+        private int kept;
         private long position = Routing.NO_POSITION;
         private Routing.Role role = Routing.Role.UNKNOWN;
 
@@ -119,11 +123,27 @@
             case DROP -> {
                 return false;
             }
-            default -> { }
+            default -> {
+                if (!Shares.keeps(kept, length)) {
+                    Log.warn("no room for an answer of %d bytes that must be held whole", length);
+                    return false;
+                }
+                c.kept = length;
+                kept += length;
+            }
         }
         return true;
     }
 
+    @Override
+    protected void released(Conn conn) {
+        PgConn c = (PgConn) conn;
+        kept -= c.kept;
+        c.kept = 0;
+        c.answer = new ArrayList<>(3);
+        c.row = null;
+    }
+
     private boolean piece(PgConn c, byte[] piece) {
         c.left -= piece.length;
         if (c.passing) {
@@ -218,8 +238,6 @@
         }
         Ending ending = c.error != null ? c.error : c.row != null ? Ending.SERVED : Ending.ERROR;
         byte[][] answer = ending == Ending.SERVED ? c.answer.toArray(new byte[0][]) : null;
-        c.answer = new ArrayList<>(3);
-        c.row = null;
         done(c, true, ending, answer, c.position, c.role);
     }
 
--- a/src/test/java/lupinvalve/cli/RunScriptTest.java
+++ b/src/test/java/lupinvalve/cli/RunScriptTest.java
@@ -18,6 +18,10 @@
 
     /** What the script starts, told by a stand-in for java which is all that there is on the path. */
     private String started(String config) throws Exception {
+        return started(config, Map.of());
+    }
+
+    private String started(String config, Map<String, String> more) throws Exception {
         Path java = folder.resolve("java");
         if (!Files.exists(java)) {
             Files.writeString(java, "#!/bin/sh\necho \"$$ $@\"\n");
@@ -30,6 +34,7 @@
                 .redirectOutput(out.toFile());
         script.environment().clear();
         script.environment().putAll(Map.of("PATH", folder.toString(), "NODE_CONFIG", file.toString()));
+        script.environment().putAll(more);
         Process process = script.start();
         assertTrue(process.waitFor(20, TimeUnit.SECONDS), "the script ends when java does");
         String said = Files.readString(out);
@@ -66,6 +71,12 @@
         heap(56, "{\"memory_mb\": \"much\", \"sockets\": 384}");
     }
 
+    @Test
+    void whereTwoMayRunTheHeapStartsSmall() throws Exception {
+        String said = started("{\"memory_mb\": 144}", Map.of("NODE_OPERATOR", "127.0.0.1:9600"));
+        assertTrue(said.contains(" -Xms24m -Xmn10m -Xmx72m "), said);
+    }
+
     @Test
     void socketsAreIpv4() throws Exception {
         assertTrue(started("{}").contains("-Djava.net.preferIPv4Stack=true"));
--- a/src/test/java/lupinvalve/handoff/OrdersFileTest.java
+++ b/src/test/java/lupinvalve/handoff/OrdersFileTest.java
@@ -101,4 +101,22 @@
         assertFalse(incumbent.another());
         assertTrue(log.toString().contains("can't be read"));
     }
+
+    @Test
+    void bothProcessesKnowOfEachOtherUntilOneHasEnded() throws Exception {
+        Process old = new ProcessBuilder("sleep", "60").start();
+        Files.writeString(folder.resolve("p.serving"), Long.toString(old.pid()));
+        Incumbent next = new Incumbent(folder.resolve("p"));
+        assertTrue(next.another());
+        next.starts();
+        next.serves();
+        assertTrue(!next.another() && next.accompanied(), "the old one is on its way out");
+        old.destroyForcibly().waitFor();
+        assertFalse(next.accompanied());
+        Process third = new ProcessBuilder("sleep", "60").start();
+        Files.writeString(folder.resolve("p.starting"), Long.toString(third.pid()));
+        assertTrue(next.accompanied() && !next.another(), "one that has not said yes takes nobody's place");
+        third.destroyForcibly().waitFor();
+        assertFalse(next.accompanied());
+    }
 }
--- a/src/test/java/lupinvalve/net/HeldLinkTest.java
+++ b/src/test/java/lupinvalve/net/HeldLinkTest.java
@@ -6,12 +6,16 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import lupinvalve.core.Loop;
 import lupinvalve.stories.World;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.DummySession;
 import org.junit.jupiter.api.Test;
 
 /** What keeps long answers in their peers' machines instead of in this one's memory. */
@@ -22,12 +26,8 @@
         return to;
     };
 
-    @Test
-    void aHeldLinkReadsNothingAndRoomIsToldOnceThePeerHasRead() throws Exception {
-        Loop loop = new Loop();
-        Net net = new Net(loop);
-        AtomicReference<Link> opened = new AtomicReference<>();
-        Link.Events events = new Link.Events() {
+    private static Link.Events events(AtomicReference<Link> opened, List<String> faults) {
+        return new Link.Events() {
             @Override
             public void opened(Link link) {
                 opened.set(link);
@@ -40,7 +40,7 @@
 
             @Override
             public void malformed(Link link, String why) {
-                // Everything is well formed.
+                faults.add(why);
             }
 
             @Override
@@ -48,6 +48,45 @@
                 // The test ends.
             }
         };
+    }
+
+    @Test
+    void messagesThatAreNotWholeShareOneBudgetAndGiveItBack() throws Exception {
+        Loop loop = new Loop();
+        loop.start();
+        Room room = new Room(10_000);
+        List<String> faults = new CopyOnWriteArrayList<>();
+        Framer never = (bytes, from, to, out) -> from;
+        List<Link> links = new ArrayList<>();
+        try {
+            for (int i = 0; i < 4; i++) {
+                links.add(new Link(loop, i == 3 ? BYTES : never, events(new AtomicReference<>(), faults), room));
+                links.get(i).received(new DummySession(), IoBuffer.allocate(4500));
+            }
+            World.await("the third has no room", () -> faults.size() > 0);
+            assertEquals(2 * 4500, room.taken());
+            // Those that were begun in time go on, and what has ended makes room.
+            links.get(0).ended();
+            links.get(0).ended();
+            assertEquals(4500, room.taken());
+            links.get(1).received(new DummySession(), IoBuffer.allocate(4500));
+            assertEquals(9000, room.taken());
+            CountDownLatch told = new CountDownLatch(1);
+            loop.post(told::countDown);
+            told.await();
+            // The last one was whole at once, but had to be read first.
+            assertEquals(2, faults.size());
+        } finally {
+            loop.stop();
+        }
+    }
+
+    @Test
+    void aHeldLinkReadsNothingAndRoomIsToldOnceThePeerHasRead() throws Exception {
+        Loop loop = new Loop();
+        Net net = new Net(loop);
+        AtomicReference<Link> opened = new AtomicReference<>();
+        Link.Events events = events(opened, new ArrayList<>());
         loop.start();
         Net.Listener listener = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> BYTES, events);
         try (Socket peer = new Socket()) {
--- a/src/test/java/lupinvalve/net/SurplusTest.java
+++ b/src/test/java/lupinvalve/net/SurplusTest.java
@@ -81,6 +81,33 @@
         assertEquals(1, onCore(pool::open), "the one used last stays for its whole time");
     }
 
+    @Test
+    void whileAnotherProcessRunsEachKeepsHalf() throws Exception {
+        open(1);
+        assertEquals(4, onCore(pool::open));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        loop.post(() -> {
+            for (int i = 0; i < 40; i++) {
+                pool.send(200 + i, "n", "127.0.0.1:1",
+                        new Statement("SELECT 1".getBytes(StandardCharsets.UTF_8)), 1_000_000, 1_000_000);
+            }
+            pool.beside(true);
+        });
+        while (onCore(pool::open) > 25 && System.nanoTime() < end) {
+            loop.post(() -> pool.beside(true));
+            Thread.sleep(20);
+        }
+        assertEquals(25, onCore(pool::open));
+        loop.post(() -> {
+            pool.beside(false);
+            for (int i = 0; i < 40; i++) {
+                pool.send(300 + i, "n", "127.0.0.1:1",
+                        new Statement("SELECT 1".getBytes(StandardCharsets.UTF_8)), 1_000_000, 1_000_000);
+            }
+        });
+        assertTrue(onCore(pool::open) > 25, "alone it may use them all");
+    }
+
     @Test
     void aPoolerThatIsAloneKeepsThemAll() throws Exception {
         open(1);
