--- a/src/main/java/lupinvalve/config/NodeConfig.java
+++ b/src/main/java/lupinvalve/config/NodeConfig.java
@@ -53,8 +53,7 @@
                     case "seed" -> seed = seed(in.getValueAsString("0"));
                     case "known" -> known = new ListReader(List.of(), mysqlPort).read(in);
                     case "operator" -> operator = in.currentToken() == JsonToken.VALUE_NULL ? null
-                            : address(file + ": operator", in.currentToken() == JsonToken.VALUE_STRING ? in.getText()
-                                    : String.valueOf(in.currentToken()));
+                            : address(file + ": operator", in.getText());
                     case "settings" -> site = site(file, in);
                     case "limits" -> {
                         while (in.nextToken() == JsonToken.FIELD_NAME) {
--- a/src/test/java/lupinvalve/config/NodeConfigTest.java
+++ b/src/test/java/lupinvalve/config/NodeConfigTest.java
@@ -41,6 +41,23 @@
         wrong("\"cores\": *[0-9.]+", "\"cores\": 0", "limits.cores", "0");
     }
 
+    @Test
+    void operatorsAddressIsCheckedAndTheVariableGoesBeforeTheFile() throws IOException {
+        for (String value : new String[] {"\"nowhere\"", "\"127.0.0.1\"", "\"127.0.0.1:\"", "\"127.0.0.1:70000\"",
+                "\"ops.example:9600\"", "\"\"", "9600", "{}"}) {
+            wrong("\\{", "{\"operator\": " + value + ",", "operator", value.replace("\"", "").replace("{}", ""));
+        }
+        NodeConfig plain = NodeConfig.read(changed("\"n0\"", "\"n9\""), null);
+        assertEquals(null, plain.operator());
+        assertEquals(null, plain.withOperator("NODE_OPERATOR", "").operator());
+        NodeConfig file = NodeConfig.read(changed("\\{", "{\"operator\": \"127.0.0.1:9600\","), null);
+        assertEquals(9600, file.operator().getPort());
+        assertEquals(9600, file.withOperator("NODE_OPERATOR", null).operator().getPort());
+        assertEquals(9601, file.withOperator("NODE_OPERATOR", "127.0.0.2:9601").operator().getPort());
+        String message = assertThrows(IOException.class, () -> file.withOperator("NODE_OPERATOR", "there")).getMessage();
+        assertEquals("NODE_OPERATOR: there is no address and port", message);
+    }
+
     @Test
     void expectedRateIsTheTenantsSharesOverThePoolers() throws IOException {
         Path file = changed("\"n_instances\": *[0-9]+", "\"n_instances\": 4");
