--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -327,12 +327,17 @@
         } else if (news.form() != Routing.ListForm.UPDATE) {
             Log.info("list: %s, %d db nodes", news.form(), news.entries().size());
             // Each deploy brings new ids: those that have left must not pile up.
+            Set<String> missing = new HashSet<>(listing.keySet());
+            news.entries().forEach(entry -> missing.remove(entry.member().node()));
+            missing.forEach(node -> maintenance.left(node, loop.now()));
             listing.clear();
             addresses.clear();
         }
         for (Directory.Entry entry : news.entries()) {
             if (entry.member().health() == Routing.Health.GONE) {
-                listing.remove(entry.member().node());
+                if (listing.remove(entry.member().node()) != null) {
+                    maintenance.left(entry.member().node(), loop.now());
+                }
             } else {
                 listing.put(entry.member().node(), entry);
             }
@@ -366,7 +371,7 @@
 
     /** Why an operator's call to take a db node out or back can't be taken, or null. */
     public String objection(boolean takeOut, String node) {
-        return maintenance.objection(takeOut, node, listing.containsKey(node));
+        return maintenance.objection(takeOut, node, listing.containsKey(node), loop.now());
     }
 
     /** Takes over the operators' orders; nothing new goes to what is out by the time that this returns. */
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -139,7 +139,7 @@
      * MINA's acceptor with two more duties: the address may be shared between the two processes of an upgrade, and the
      * connections that wait to be taken when it closes are taken first, since the system would reset them.
      */
-    private static final class Acceptor extends NioSocketAcceptor {
+    static class Acceptor extends NioSocketAcceptor {
         private final boolean shared;
         private boolean took;
 
--- a/src/main/java/lupinvalve/upkeep/Maintenance.java
+++ b/src/main/java/lupinvalve/upkeep/Maintenance.java
@@ -1,6 +1,8 @@
 package lupinvalve.upkeep;
 
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -16,7 +18,11 @@
 public final class Maintenance {
     /** Ids held at most; each comes from an operator's hand. */
     static final int MOST = 1000;
+    /** For how long an id that has left the list is still somebody's: a db node that restarts is off the list meanwhile. */
+    static final long REMEMBERED = 600_000_000;
     private final long warmUpMicros;
+    /** When ids left the list, the longest ago first. */
+    private final LinkedHashMap<String, Long> left = new LinkedHashMap<>();
     private final Set<String> out = new TreeSet<>();
     private final Map<String, Long> back = new HashMap<>();
 
@@ -70,9 +76,21 @@
         this.warmUpMicros = warmUpMicros;
     }
 
+    /** A db node has left the list. */
+    public void left(String id, long nowMicros) {
+        left.remove(id);
+        left.put(id, nowMicros);
+        Iterator<Long> eldest = left.values().iterator();
+        if (left.size() > MOST || eldest.next() < nowMicros - REMEMBERED) {
+            left.remove(left.keySet().iterator().next());
+        }
+    }
+
     /** Why a call can't be taken, or null. */
-    public String objection(boolean takeOut, String id, boolean listed) {
-        if (!listed && !out.contains(id)) {
+    public String objection(boolean takeOut, String id, boolean listed, long nowMicros) {
+        // Guards the call for a db node that operators are just restarting: it is off the list, and yet no stranger.
+        boolean known = listed || out.contains(id) || left.getOrDefault(id, Long.MIN_VALUE) >= nowMicros - REMEMBERED;
+        if (!known) {
             return "nobody has the id " + id;
         }
         return takeOut && !out.contains(id) && out.size() >= MOST ? "already " + MOST + " ids are out" : null;
--- /dev/null
+++ b/src/test/java/lupinvalve/net/AcceptorTest.java
@@ -0,0 +1,75 @@
+package lupinvalve.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import lupinvalve.stories.World;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.junit.jupiter.api.Test;
+
+/** The system resets connections that wait to be taken when a port closes: during an upgrade each costs a request. */
+class AcceptorTest {
+    @Test
+    void whatWaitsToBeTakenAsThePortClosesIsTaken() throws Exception {
+        ExecutorService threads = Executors.newCachedThreadPool();
+        SimpleIoProcessorPool<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+        CountDownLatch reached = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        AtomicInteger taken = new AtomicInteger();
+        Net.Acceptor acceptor = new Net.Acceptor(threads, processor, true) {
+            @Override
+            protected NioSession accept(IoProcessor<NioSession> by, ServerSocketChannel handle) throws Exception {
+                reached.countDown();
+                held.await();
+                return super.accept(by, handle);
+            }
+        };
+        acceptor.setBacklog(64);
+        acceptor.setCloseOnDeactivation(false);
+        acceptor.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void sessionOpened(IoSession session) {
+                taken.incrementAndGet();
+            }
+        });
+        List<Socket> clients = new ArrayList<>();
+        try {
+            acceptor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            int port = acceptor.getLocalAddress().getPort();
+            clients.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            reached.await();
+            for (int i = 1; i < 20; i++) {
+                clients.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+            Thread closing = new Thread(acceptor::unbind);
+            closing.start();
+            World.await("asked to close", () -> closing.getState() == Thread.State.TIMED_WAITING
+                    || closing.getState() == Thread.State.WAITING);
+            held.countDown();
+            closing.join();
+            World.await("all taken", () -> taken.get() == clients.size());
+            assertEquals(20, taken.get());
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+            acceptor.dispose(false);
+            processor.dispose();
+            threads.shutdown();
+        }
+    }
+}
