Ask again before a request goes out on a connection that came up after its db node had left

Cause: a Send was decided before the news, its connection took up to 250 ms to be greeted, and Pool.greeted went on to begin() without asking whether the db node had left by then. The rule counts from a send's first byte. Ruled out as the whole cause: lists waiting for the core. Change: Pooler.bars, asked by Pool.greeted; NOT_SENT, so the router decides anew. Loop.urgent for lists and operators' calls, and a Net of its own for discovery, are kept, since they take those waits away. Tests: PlatformTest (a greeting that is held while the db node leaves), CoreTest; both fail with their code broken.

--- a/src/main/java/lupinvalve/cli/Daemon.java
+++ b/src/main/java/lupinvalve/cli/Daemon.java
@@ -48,6 +48,11 @@
     private final NodeConfig config;
     private final Loop loop = new Loop();
     private final Net net = new Net(loop);
+    /**
+     * For discovery alone, with a thread of its own: a departure binds 250 ms after it was told, and the moment after a
+     * start, when clients come at once and code is cold, had lists wait longer than that behind requests.
+     */
+    private final Net listing = new Net(loop, true);
     private final Pooler pooler;
     private final PgFront front;
     // One of them is the directory.
@@ -150,7 +155,7 @@
         if (config.discovery() == null) {
             throw new IllegalArgumentException("no discovery in the configuration and no dns_sd");
         }
-        http = new HttpDirectory(net, pooler, Addresses.parse(config.discovery()),
+        http = new HttpDirectory(listing, pooler, Addresses.parse(config.discovery()),
                 new ListReader(config.site().zones(), port), config.known().revision());
         return http;
     }
@@ -321,6 +326,7 @@
             operations.stop();
         }
         net.close();
+        listing.close();
         loop.stop();
     }
 }
--- a/src/main/java/lupinvalve/cli/Operations.java
+++ b/src/main/java/lupinvalve/cli/Operations.java
@@ -93,7 +93,7 @@
         Orders other = file.changed(orders);
         if (other != null) {
             orders = other;
-            pooler.loop().post(() -> pooler.maintain(other));
+            pooler.loop().urgent(() -> pooler.maintain(other));
         }
     }
 
@@ -109,7 +109,7 @@
 
     @Override
     public void maintain(boolean takeOut, String id, Consumer<String> objection) {
-        pooler.loop().post(() -> {
+        pooler.loop().urgent(() -> {
             String why = pooler.objection(takeOut, id);
             if (why != null) {
                 objection.accept(why);
@@ -129,7 +129,7 @@
             return;
         }
         Orders now = orders;
-        pooler.loop().post(() -> {
+        pooler.loop().urgent(() -> {
             pooler.maintain(now);
             objection.accept(null);
         });
@@ -137,7 +137,7 @@
 
     @Override
     public void drain(boolean quiesce, Consumer<String> objection) {
-        pooler.loop().post(() -> {
+        pooler.loop().urgent(() -> {
             Drain drain = pooler.drain();
             if (drain.leaving()) {
                 objection.accept(quiesce ? null : "the program is ending");
--- a/src/main/java/lupinvalve/core/Loop.java
+++ b/src/main/java/lupinvalve/core/Loop.java
@@ -1,5 +1,6 @@
 package lupinvalve.core;
 
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lupinvalve.log.Log;
@@ -11,6 +12,7 @@
 public final class Loop {
     private static final long WINDOW = 500_000;
     private final LinkedBlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
+    private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Thread thread = new Thread(this::run, "core");
@@ -32,6 +34,13 @@
         posted.add(work);
     }
 
+    /** The same, before all that was posted; in order among themselves. For what binds within a time of its own. */
+    public void urgent(Runnable work) {
+        urgent.add(work);
+        // Wakes the thread where it waits for something posted.
+        posted.add(() -> { });
+    }
+
     public long now() {
         return clock.micros();
     }
@@ -74,14 +83,26 @@
                 for (Runnable due = deadlines.due(now()); due != null; due = deadlines.due(now())) {
                     guarded(due);
                 }
+                pressing();
             } catch (InterruptedException e) {
                 Log.warn("core thread interrupted");
             }
         }
     }
 
+    private void pressing() {
+        for (Runnable work = urgent.poll(); work != null; work = urgent.poll()) {
+            run(work);
+        }
+    }
+
+    private void guarded(Runnable work) {
+        pressing();
+        run(work);
+    }
+
     /** Guards against one connection's fault ending the thread that serves all the others. */
-    private static void guarded(Runnable work) {
+    private static void run(Runnable work) {
         try {
             work.run();
         } catch (RuntimeException e) {
--- a/src/main/java/lupinvalve/core/Pooler.java
+++ b/src/main/java/lupinvalve/core/Pooler.java
@@ -91,6 +91,8 @@
     /** The list as discovery tells it, and the addresses of those of its db nodes that may be used. */
     private final Map<String, Directory.Entry> listing = new HashMap<>();
     private final Map<String, Map<String, String>> addresses = new HashMap<>();
+    /** Since when db nodes that are still listed have been told as leaving. */
+    private final Map<String, Long> leaving = new HashMap<>();
     private final Maintenance maintenance;
     private final Drain drain = new Drain();
     private final Figures figures;
@@ -360,7 +362,13 @@
             } else {
                 addresses.put(m.node(), entry.addresses());
             }
+            if (m.health() == Routing.Health.DRAINING) {
+                leaving.putIfAbsent(m.node(), loop.now());
+            } else {
+                leaving.remove(m.node());
+            }
         }
+        leaving.keySet().retainAll(addresses.keySet());
         feed(new Routing.Members(form, members));
         for (Routing.Member m : members) {
             if (m.health() == Routing.Health.GONE) {
@@ -397,6 +405,15 @@
         lastAnswer = atMicros;
     }
 
+    /**
+     * Whether nothing new may go to the db node. Guards requests that wait for their connection: when they were sent on it
+     * may not have been told yet, and what counts is when their first byte goes out.
+     */
+    public boolean bars(String node) {
+        Long since = leaving.get(node);
+        return !lists(node) || since != null && loop.now() >= since + settings.rules().drainGraceMicros() * 3 / 4;
+    }
+
     /** Whether the list names the db node, and not as gone. */
     public boolean lists(String node) {
         return addresses.containsKey(node);
--- a/src/main/java/lupinvalve/discovery/HttpDirectory.java
+++ b/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -24,6 +24,8 @@
     /** How long a call may take until its answer begins. */
     private static final long CALL = 1_500_000;
     private static final int ANSWER_MOST = 4 << 20;
+    /** A departure binds 250 ms after it was told: so much may the core be behind before that is worth a line. */
+    private static final long LATE = 50_000;
     private final Net net;
     private final Pooler pooler;
     private final Loop loop;
@@ -163,6 +165,10 @@
 
         @Override
         public void messages(Link from, List<byte[]> messages, long atMicros) {
+            long waited = loop.now() - atMicros;
+            if (waited > LATE) {
+                Log.info("discovery: its word waited %d us for the core", waited);
+            }
             try {
                 for (byte[] bytes : messages) {
                     if (!over) {
--- a/src/main/java/lupinvalve/net/Link.java
+++ b/src/main/java/lupinvalve/net/Link.java
@@ -45,6 +45,7 @@
 
     private final Loop loop;
     private final Room memory;
+    private final boolean urgent;
     private final Framer framer;
     private final Events events;
     // MINA's side.
@@ -70,11 +71,13 @@
     private boolean over;
 
     Link(Loop loop, Framer framer, Events events) {
-        this(loop, framer, events, new Room(Long.MAX_VALUE));
+        this(loop, framer, events, new Room(Long.MAX_VALUE), false);
     }
 
-    Link(Loop loop, Framer framer, Events events, Room memory) {
+    /** @param urgent whether what happens goes before all that waits for the core */
+    Link(Loop loop, Framer framer, Events events, Room memory, boolean urgent) {
         this.memory = memory;
+        this.urgent = urgent;
         this.loop = loop;
         this.framer = framer;
         this.events = events;
@@ -103,8 +106,16 @@
         dialling = future;
     }
 
+    private void post(Runnable work) {
+        if (urgent) {
+            loop.urgent(work);
+        } else {
+            loop.post(work);
+        }
+    }
+
     void opened(IoSession opened) {
-        loop.post(() -> {
+        post(() -> {
             if (over) {
                 opened.closeNow();
                 return;
@@ -150,7 +161,7 @@
                 from.resumeRead();
             }
         }
-        loop.post(() -> {
+        post(() -> {
             if (ahead.addAndGet(-more) <= AHEAD_MOST && !over && !held && from.isReadSuspended()) {
                 from.resumeRead();
             }
@@ -202,7 +213,7 @@
     void ended() {
         clear();
         deaf = true;
-        loop.post(this::end);
+        post(this::end);
     }
 
     private void end() {
--- a/src/main/java/lupinvalve/net/Net.java
+++ b/src/main/java/lupinvalve/net/Net.java
@@ -34,6 +34,7 @@
     private static final long UNFINISHED_MOST = 14 << 20;
 
     private final Loop loop;
+    private final boolean urgent;
     private final Room memory = new Room(UNFINISHED_MOST);
     private final Executor threads = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(null, work, "net", 256 << 10);
@@ -45,7 +46,13 @@
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
 
     public Net(Loop loop) {
+        this(loop, false);
+    }
+
+    /** @param urgent whether what happens on its connections goes before all that waits for the core */
+    public Net(Loop loop, boolean urgent) {
         this.loop = loop;
+        this.urgent = urgent;
         setUp(connector.getSessionConfig());
         connector.setHandler(new Handler());
     }
@@ -132,7 +139,7 @@
      */
     public Listener listen(InetSocketAddress address, boolean shared, java.util.function.Supplier<Framer> framers,
             Link.Events events) throws IOException {
-        return listen(address, shared, session -> new Link(loop, framers.get(), events, memory));
+        return listen(address, shared, session -> new Link(loop, framers.get(), events, memory, urgent));
     }
 
     /**
@@ -188,7 +195,7 @@
 
     @Override
     public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
-        Link link = new Link(loop, framer, events, memory);
+        Link link = new Link(loop, framer, events, memory, urgent);
         if (address.isUnresolved() || connector.isDisposing()) {
             link.ended();
             return link;
--- a/src/main/java/lupinvalve/net/Pool.java
+++ b/src/main/java/lupinvalve/net/Pool.java
@@ -180,6 +180,13 @@
         loop.drop(conn.limit);
         if (conn.job == null) {
             rest(conn);
+        } else if (pooler.bars(conn.node)) {
+            // The db node was told to be left out while the connection came up: the request has not gone anywhere.
+            Job job = conn.job;
+            release(conn);
+            forget(conn);
+            conn.link.drop();
+            tell(job, Ending.NOT_SENT, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
         } else {
             begin(conn);
         }
--- a/src/test/java/lupinvalve/core/CoreTest.java
+++ b/src/test/java/lupinvalve/core/CoreTest.java
@@ -43,6 +43,26 @@
         assertEquals(List.of("first", "second"), ran);
     }
 
+    @Test
+    void what_is_urgent_goes_before_all_that_waits_and_keeps_its_order() throws InterruptedException {
+        Loop loop = new Loop();
+        List<String> ran = new java.util.concurrent.CopyOnWriteArrayList<>();
+        java.util.concurrent.CountDownLatch over = new java.util.concurrent.CountDownLatch(1);
+        loop.post(() -> ran.add("request"));
+        loop.post(() -> loop.urgent(() -> ran.add("told meanwhile")));
+        loop.post(() -> ran.add("last request"));
+        loop.post(over::countDown);
+        loop.urgent(() -> ran.add("told"));
+        loop.urgent(() -> ran.add("told again"));
+        loop.start();
+        over.await();
+        assertEquals(List.of("told", "told again", "request", "told meanwhile", "last request"), ran);
+        java.util.concurrent.CountDownLatch woken = new java.util.concurrent.CountDownLatch(1);
+        loop.urgent(woken::countDown);
+        assertTrue(woken.await(10, java.util.concurrent.TimeUnit.SECONDS), "it wakes a thread that waits");
+        loop.stop();
+    }
+
     @Test
     void a_statement_keeps_its_bytes_but_for_the_wait() {
         String text = "INSERT INTO rows VALUES ('it''s', '\\x00') /* d=1 */ RETURNING blob /* id=9,d=480 , c=x */";
--- a/src/test/java/lupinvalve/net/HeldLinkTest.java
+++ b/src/test/java/lupinvalve/net/HeldLinkTest.java
@@ -60,7 +60,7 @@
         List<Link> links = new ArrayList<>();
         try {
             for (int i = 0; i < 4; i++) {
-                links.add(new Link(loop, i == 3 ? BYTES : never, events(new AtomicReference<>(), faults), room));
+                links.add(new Link(loop, i == 3 ? BYTES : never, events(new AtomicReference<>(), faults), room, false));
                 links.get(i).received(new DummySession(), IoBuffer.allocate(4500));
             }
             World.await("the third has no room", () -> faults.size() > 0);
--- a/src/test/java/lupinvalve/stories/DbNode.java
+++ b/src/test/java/lupinvalve/stories/DbNode.java
@@ -29,6 +29,8 @@
     public volatile String value = "value";
     /** Answers wait for it. */
     public volatile java.util.concurrent.CountDownLatch hold = new java.util.concurrent.CountDownLatch(0);
+    /** Connections are greeted once it is open. */
+    public volatile java.util.concurrent.CountDownLatch greets = new java.util.concurrent.CountDownLatch(0);
     /** Connections that have rested longer are dropped without a word, as the next request on them finds out. */
     public volatile long dropsAfterNanos = Long.MAX_VALUE;
     public volatile long restsSince = System.nanoTime();
@@ -129,6 +131,7 @@
         DataInputStream in = new DataInputStream(socket.getInputStream());
         DataOutputStream out = new DataOutputStream(new java.io.BufferedOutputStream(socket.getOutputStream()));
         in.skipNBytes(in.readInt() - 4);
+        World.hold(greets);
         message(out, 'R', new byte[4]);
         ready(out);
         while (true) {
--- a/src/test/java/lupinvalve/stories/PlatformTest.java
+++ b/src/test/java/lupinvalve/stories/PlatformTest.java
@@ -215,6 +215,24 @@
         }
     }
 
+    @Test
+    void a_request_that_waits_for_its_connection_does_not_go_to_a_db_node_that_has_left() throws Exception {
+        DbNode leaving = new DbNode("s-2", false);
+        try (World world = calm(new DbNode("s-1", true), leaving); Socket client = world.raw()) {
+            messages(client, 'Z', 1);
+            World.await("watching", () -> world.watches.get() > 0);
+            leaving.greets = new CountDownLatch(1);
+            client.getOutputStream().write(query(read("w1", 900)));
+            World.await("on its way", () -> leaving.met.get() > 0);
+            world.phase(leaving, "terminated");
+            // It is told on another connection than the one that comes up: a moment for the news to arrive first.
+            Thread.sleep(60);
+            leaving.greets.countDown();
+            assertEquals(List.of("T", "D", "C", "Z"), messages(client, 'Z', 1));
+            assertEquals(List.of(), leaving.seen);
+        }
+    }
+
     @Test
     void a_watch_gone_silent_is_replaced_within_the_six_seconds() throws Exception {
         try (World world = calm(new DbNode("s-1", true))) {
