--- a/src/test/java/lupinvalve/stories/DayToDayTest.java
+++ b/src/test/java/lupinvalve/stories/DayToDayTest.java
@@ -188,12 +188,12 @@
             assertTrue(PlatformTest.messages(asks, 'Z', 2).contains("I"));
             PlatformTest.messages(busy, 'Z', 2);
             primary.script.add(DbNode.Makes.HANG);
-            busy.getOutputStream().write(query(PlatformTest.booking("b", 1500)));
+            busy.getOutputStream().write(PlatformTest.query(PlatformTest.booking("b", 1500)));
             World.await("in work", () -> primary.runs.containsKey("b"));
             assertEquals("ok\n", world.call("quiesce"));
             assertEquals("ok\n", world.call("quiesce"));
             assertTrue(world.call("health").startsWith("fail"));
-            asks.getOutputStream().write(query(""));
+            asks.getOutputStream().write(PlatformTest.query(""));
             assertEquals(List.of("E57P03", "Z"), PlatformTest.messages(asks, 'Z', 1));
             // What comes meanwhile is served, and its connection ends behind the answer.
             try (Socket late = world.raw(read("c"))) {
@@ -220,12 +220,6 @@
         }
     }
 
-    private static byte[] query(String text) {
-        int length = text.length() + 5;
-        return ("Q\0\0" + (char) (length >> 8) + (char) (length & 255) + text + "\0")
-                .getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
-    }
-
     @Test
     void aSuccessorTakesOverAddressAndOrdersAndNobodyIsTurnedBack() throws Exception {
         DbNode out = new DbNode("s-2", false);
--- a/src/test/java/lupinvalve/stories/PlatformTest.java
+++ b/src/test/java/lupinvalve/stories/PlatformTest.java
@@ -292,7 +292,7 @@
         }
     }
 
-    private static byte[] query(String text) {
+    static byte[] query(String text) {
         return ("Q\0\0" + (char) ((text.length() + 5) >> 8) + (char) ((text.length() + 5) & 255) + text + "\0")
                 .getBytes(ISO_8859_1);
     }
