Split the build into the modules daemon and lab

Change: a Maven reactor. `daemon` has the sources as they were, moved with their history; `lab` is new, with one command so far, `disk`: what the disk itself can do, which figures of a log will stand beside. deploy/, README and the tests' working folder follow; deploy/build.sh builds the daemon alone, so the platform's build is what it was.

--- a/src/test/java/lupinvalve/PolicyFileTest.java
+++ b/daemon/src/test/java/lupinvalve/PolicyFileTest.java
@@ -12,7 +12,7 @@
 class PolicyFileTest {
     @Test
     void moduleKeepsToItsSizeAndLineLength() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/lupinvalve/Router.java"));
+        List<String> lines = Files.readAllLines(Path.of("daemon/src/main/java/lupinvalve/Router.java"));
         long counted = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(counted <= 950, "lines that are not blank: " + counted);
         lines.forEach(line -> assertTrue(line.length() <= 110, line));
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -39,7 +39,7 @@
 start="-Xms${heap}m"
 [ -z "$NODE_OPERATOR" ] || start="-Xms24m -Xmn10m"
 # What the build's rehearsal wrote down of the classes; a JVM that can't use it reads them from the jar as ever.
-archive=target/lupinvalve.jsa
+archive=daemon/target/lupinvalve.jsa
 [ -r "$archive" ] && set -- "-XX:SharedArchiveFile=$archive" -Xlog:cds=off || set --
 # A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
 # is still interpreted takes several times the part of a core that a pooler has.
@@ -49,4 +49,4 @@
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
     -XX:Tier3InvocationThreshold=50 -XX:Tier3MinInvocationThreshold=20 -XX:Tier3CompileThreshold=400 \
     -XX:-UsePerfData -Djdk.nio.maxCachedBufferSize=65536 -Djava.net.preferIPv4Stack=true \
-    -jar target/lupinvalve.jar serve
+    -jar daemon/target/lupinvalve.jar serve
--- /dev/null
+++ b/lab/src/main/java/lupinvalve/lab/Lab.java
@@ -0,0 +1,47 @@
+package lupinvalve.lab;
+
+import java.io.PrintStream;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** The laboratory's command line: what tries and measures, and is no part of the daemon. */
+public final class Lab {
+    /** One of its commands. */
+    public interface Command {
+        /** Runs it and gives the exit code. */
+        int run(PrintStream out) throws Exception;
+    }
+
+    @Argument(required = true, metaVar = "COMMAND", usage = "disk", handler = SubCommandHandler.class)
+    @SubCommands({
+        @SubCommand(name = "disk", impl = Disk.class)
+    })
+    private Command command;
+
+    private Lab() {}
+
+    public static void main(String[] args) {
+        System.exit(run(args, System.out, System.err));
+    }
+
+    static int run(String[] args, PrintStream out, PrintStream err) {
+        Lab lab = new Lab();
+        try {
+            new CmdLineParser(lab).parseArgument(args);
+        } catch (CmdLineException e) {
+            err.println("lab: " + e.getMessage());
+            err.println("usage: lab disk [--folder FOLDER] [--seconds N] [--batch N] [--json]");
+            return 2;
+        }
+        try {
+            return lab.command.run(out);
+        } catch (Exception e) {
+            err.println("lab: " + e);
+            return 1;
+        }
+    }
+}
