--- a/daemon/src/main/java/lupinvalve/Router.java
+++ b/daemon/src/main/java/lupinvalve/Router.java
@@ -245,6 +245,15 @@
                 && now < n.toldLeaving + settings.rules().drainGraceMicros() * 3 / 4;
     }
 
+    /** The position that a member has proven, or {@link Routing#NO_POSITION}. */
+    public long position(String node) {
+        return nodes.containsKey(node) ? nodes.get(node).position : Routing.NO_POSITION;
+    }
+
+    public boolean isPrimary(String node) {
+        return nodes.containsKey(node) && nodes.get(node).group.primary == nodes.get(node);
+    }
+
     // ---- what members tell of themselves ----
 
     /** Positions never go back: the greatest one told stays proven. */
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -26,9 +26,7 @@
 import lupinvalve.net.Pool;
 import lupinvalve.pg.PgBackend;
 import lupinvalve.pg.PgFront;
-import lupinvalve.store.Replicator;
-import lupinvalve.store.Store;
-import lupinvalve.store.StoreFile;
+import lupinvalve.upkeep.Drain;
 
 /** One pooler with all its parts. */
 public final class Daemon {
@@ -44,7 +42,6 @@
     private static final int QUIET = 5;
     /** How long a start waits for discovery's first word while another process serves. */
     private static final long INFORMED_MILLIS = 1_500;
-    private static final String DOCUMENT = "operator";
     private final NodeConfig config;
     private final Loop loop = new Loop();
     private final Net net = new Net(loop);
@@ -61,45 +58,51 @@
     private Net.Listener listener;
     // What an operator may turn on.
     private OperatorConfig operator;
+    private final OperatorConfig local;
     private MysqlFront mysql;
-    private Net.Listener mysqlListener;
+    private MysqlBackend mysqlNodes;
+    private volatile Net.Listener mysqlListener;
     private Operations operations;
     private Door door;
     private final List<Pool> pools = new ArrayList<>();
-    private StoreFile file;
-    private Replicator replicator;
+    private Shared shared;
+    private Late late;
+    private boolean started;
 
     public Daemon(NodeConfig config, OperatorConfig file) throws IOException {
         this(config, file, null);
     }
 
-    /** @param shared folder that two processes of this pooler share during an upgrade, or null */
-    public Daemon(NodeConfig config, OperatorConfig file, Path shared) throws IOException {
+    /** @param folder that two processes of this pooler share during an upgrade, or null */
+    public Daemon(NodeConfig config, OperatorConfig file, Path folder) throws IOException {
         this.config = config;
         operator = file;
+        local = file;
         pooler = new Pooler(loop, config.site().settings());
         if (operator.store() != null) {
-            openStore();
+            shared = new Shared(pooler, operator.store(), this::adopted, this::held);
+            operator = local.accepted(shared.document());
         }
         // Two fronts and two pools share the sockets that one of each would have.
-        int parts = operator.mysql() == null ? 1 : 2;
+        int parts = file.mysql() == null ? 1 : 2;
         int sockets = Math.max(64, config.sockets() - SPARE);
         int clients = Math.min(600, sockets * 5 / 9) / parts;
         front = new PgFront(pooler, clients);
         Pool.Bounds bounds = new Pool.Bounds(Math.min(480, sockets * 4 / 9) / parts, config.site().connectMicros(),
                 config.site().keepaliveMicros() * 7 / 10, PROBE);
         backend(PgFront.PROTOCOL, new PgBackend(net, pooler, bounds, "api", "ledger"));
-        if (operator.mysql() != null) {
-            OperatorConfig.Mysql m = operator.mysql();
+        if (file.mysql() != null) {
+            // Where a group keeps the configuration, the one accepted has the accounts, and there may be none yet.
+            OperatorConfig.Mysql m = operator.mysql() == null ? file.mysql() : operator.mysql();
             mysql = new MysqlFront(pooler, clients, m.user(), m.password());
-            backend(MysqlFront.PROTOCOL,
-                    new MysqlBackend(net, pooler, bounds, m.nodeUser(), m.nodePassword(), m.database()));
+            mysqlNodes = new MysqlBackend(net, pooler, bounds, m.nodeUser(), m.nodePassword(), m.database());
+            backend(MysqlFront.PROTOCOL, mysqlNodes);
         }
         pooler.directory(directory());
         if (config.operator() != null) {
             // Poolers of other names may share the folder where it is no pooler's own.
-            Path stem = shared == null ? null
-                    : shared.resolve("lupinvalve-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+            Path stem = folder == null ? null
+                    : folder.resolve("lupinvalve-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
             operations = new Operations(pooler, stem, this::endConnections,
                     another -> pools.forEach(pool -> pool.beside(another)));
             door = new Door(new Calls(operations));
@@ -118,39 +121,81 @@
         }
     }
 
-    /** The store first: the operator's document of the highest revision says how the rest is set up. */
-    private void openStore() throws IOException {
-        Store store = new Store(loop, operator.store().name());
-        file = new StoreFile(loop, store, operator.store().folder());
-        file.open();
-        store.put(DOCUMENT, operator.revision(), operator.shared());
-        operator = operator.with(store.document(DOCUMENT));
-        store.watch(DOCUMENT, this::changed);
-        replicator = new Replicator(net, loop, store, operator.store().secret());
-        pooler.marks(store);
+    /** A configuration that a majority has accepted: accounts and resolver hold at once, the rest from the next start. */
+    private void adopted(byte[] document) {
+        try {
+            OperatorConfig before = operator;
+            operator = local.accepted(document);
+            OperatorConfig.Mysql m = operator.mysql();
+            if (m != null) {
+                mysql.account(m.user(), m.password());
+                mysqlNodes.account(m.nodeUser(), m.nodePassword(), m.database());
+                if (started) {
+                    listenMysql();
+                }
+            }
+            OperatorConfig.DnsSd place = operator.dnsSd();
+            if (place != null && dns != null) {
+                dns.move(Addresses.parse(place.resolver()), place.service(), place.pollMicros());
+            } else if (place != null && late != null) {
+                late.is(dnsDirectory(place));
+            } else if (place == null != (before.dnsSd() == null)) {
+                Log.warn("configuration: where db nodes are learnt from holds from the next start");
+            }
+        } catch (IOException | RuntimeException e) {
+            Log.error("configuration: %s", e.getMessage());
+        }
     }
 
-    /** A later document has come from another replica: the account holds at once, the rest at the next start. */
-    private void changed(byte[] document) {
-        try {
-            operator = operator.with(document);
-            if (mysql != null && operator.mysql() != null) {
-                mysql.account(operator.mysql().user(), operator.mysql().password());
+    private void held(boolean byGroup) {
+        if (operations != null) {
+            operations.held(byGroup);
+        }
+        pooler.drain().hold(byGroup, loop.now());
+        if (byGroup) {
+            loop.after(Drain.ENDS_AFTER, this::endConnections);
+        }
+    }
+
+    /** Asks nobody, until it is known whom. */
+    private static final class Late implements Directory {
+        private Directory is;
+        private boolean active, wanted;
+
+        void is(Directory known) {
+            is = known;
+            if (active) {
+                is.subscribe(true);
+            } else if (wanted) {
+                is.fetch();
+            }
+        }
+
+        @Override
+        public void subscribe(boolean on) {
+            active = on;
+            if (is != null) {
+                is.subscribe(on);
+            }
+        }
+
+        @Override
+        public void fetch() {
+            wanted = true;
+            if (is != null) {
+                is.fetch();
             }
-            Log.info("operator's document, revision %d: account taken over, the rest at the next start",
-                    operator.revision());
-        } catch (IOException e) {
-            Log.warn("operator's document: %s", e.getMessage());
         }
     }
 
     private Directory directory() {
         Integer port = operator.mysql() == null ? null : operator.mysql().nodePort();
         if (operator.dnsSd() != null) {
-            dns = new DnsDirectory(pooler, Addresses.parse(operator.dnsSd().resolver()),
-                    operator.dnsSd().service(), operator.dnsSd().pollMicros(), port == null ? 3306 : port,
-                    config.site().zones());
-            return dns;
+            return dnsDirectory(operator.dnsSd());
+        }
+        if (config.discovery() == null && shared != null) {
+            late = new Late();
+            return late;
         }
         if (config.discovery() == null) {
             throw new IllegalArgumentException("no discovery in the configuration and no dns_sd");
@@ -160,6 +205,12 @@
         return http;
     }
 
+    private DnsDirectory dnsDirectory(OperatorConfig.DnsSd place) {
+        dns = new DnsDirectory(pooler, Addresses.parse(place.resolver()), place.service(), place.pollMicros(),
+                operator.mysql() == null ? 3306 : operator.mysql().nodePort(), config.site().zones());
+        return dns;
+    }
+
     /**
      * Takes over a file read anew while requests go on: where discovery is. What the tables and the module were built
      * from holds from the next start. Both files have been checked by then; from any thread.
@@ -169,7 +220,9 @@
     public void reconfigure(NodeConfig next, OperatorConfig nextOperator) {
         OperatorConfig.DnsSd place = nextOperator.dnsSd();
         InetSocketAddress at = http != null && next.discovery() != null ? Addresses.parse(next.discovery()) : null;
-        InetSocketAddress resolver = dns != null && place != null ? Addresses.parse(place.resolver()) : null;
+        // What a group keeps is not changed by one member's file.
+        InetSocketAddress resolver = dns != null && place != null && shared == null ? Addresses.parse(place.resolver())
+                : null;
         if (at != null && at.isUnresolved() || resolver != null && resolver.isUnresolved()) {
             throw new IllegalArgumentException("not a literal address: " + (at != null ? at : resolver));
         }
@@ -185,7 +238,7 @@
             if (resolver != null) {
                 dns.move(resolver, place.service(), place.pollMicros());
             }
-            if (mysql != null && nextOperator.mysql() != null && file == null) {
+            if (mysql != null && nextOperator.mysql() != null && shared == null) {
                 mysql.account(nextOperator.mysql().user(), nextOperator.mysql().password());
             }
         });
@@ -211,20 +264,19 @@
             WarmUp.run(config);
             startCore();
         }
-        if (replicator != null) {
-            replicator.listen(Addresses.parse(operator.store().listen()));
-            loop.post(() -> operator.store().peers().forEach(peer -> replicator.peer(Addresses.parse(peer))));
+        if (shared != null) {
+            shared.start();
         }
         if (operations != null && operations.succeeded()) {
             // Somebody serves meanwhile, so there is time to learn what has changed since the list was written down.
             informed.await(INFORMED_MILLIS, TimeUnit.MILLISECONDS);
         }
-        boolean shared = operations != null;
-        if (mysql != null && operator.mysql().listen() != null) {
-            mysqlListener = net.listen(Addresses.parse(operator.mysql().listen()), shared, mysql::framer, mysql);
-            Log.info("%s speaks MySQL on %s", config.name(), mysqlListener.address());
+        if (shared == null) {
+            listenMysql();
+        } else {
+            listenOnceAccepted();
         }
-        listener = net.listen(Addresses.parse(config.listen()), shared, front::framer, front);
+        listener = net.listen(Addresses.parse(config.listen()), operations != null, front::framer, front);
         if (operations != null) {
             operations.serves(true);
             Log.info("%s answers operators on %s", config.name(), door.address());
@@ -232,10 +284,41 @@
         Log.info("%s listens on %s:%d", config.name(), address().getHostString(), address().getPort());
     }
 
+    /** Opens the MySQL front, unless it is open. */
+    private void listenMysql() throws IOException {
+        if (mysql != null && mysqlListener == null && operator.mysql() != null && operator.mysql().listen() != null) {
+            mysqlListener = net.listen(Addresses.parse(operator.mysql().listen()), operations != null, mysql::framer,
+                    mysql);
+            Log.info("%s speaks MySQL on %s", config.name(), mysqlListener.address());
+        }
+    }
+
+    /** Without an accepted configuration there are no accounts that the front could let in. */
+    private void listenOnceAccepted() throws InterruptedException {
+        CountDownLatch looked = new CountDownLatch(1);
+        loop.post(() -> {
+            started = true;
+            try {
+                listenMysql();
+            } catch (IOException e) {
+                Log.error("mysql.listen: %s", e.getMessage());
+            }
+            if (mysql != null && mysqlListener == null) {
+                Log.warn("MySQL is not served yet: no configuration was accepted by a majority");
+            }
+            looked.countDown();
+        });
+        looked.await();
+    }
+
     private void startCore() {
         loop.start();
         loop.post(() -> {
-            pooler.start(config.seed(), config.known().entries());
+            List<Directory.Entry> known = config.known().entries();
+            pooler.start(config.seed(), known.isEmpty() && shared != null ? shared.entries() : known);
+            if (shared != null) {
+                shared.follow();
+            }
             if (operations != null) {
                 pooler.count();
             }
@@ -251,16 +334,18 @@
     }
 
     public InetSocketAddress mysqlAddress() {
-        return mysqlListener.address();
+        return mysqlListener == null ? null : mysqlListener.address();
     }
 
     public InetSocketAddress storeAddress() {
-        return replicator.address();
+        return shared.group().address();
     }
 
-    /** Adds a replica of the store to those that the operator's file names. */
-    public void peer(InetSocketAddress address) {
-        loop.post(() -> replicator.peer(address));
+    /** Reads keys and certificates anew; from any thread. Throws, and changes nothing, where they can't be used. */
+    public void rekey() throws IOException {
+        if (shared != null) {
+            shared.group().reload();
+        }
     }
 
     /**
@@ -315,20 +400,16 @@
         }
     }
 
-    /** Writes what the store holds; from any thread but the core's. */
-    public void save() {
-        if (file != null) {
-            file.close();
+    /** Ends the part in the group; from any thread but the core's. */
+    public void leaveGroup() {
+        if (shared != null) {
+            shared.group().stop();
         }
     }
 
-    /** Drops everything at once, as if killed, but for what the store has written. */
+    /** Drops everything at once, as if killed. */
     public void stop() {
-        loop.post(() -> {
-            if (replicator != null) {
-                replicator.stop();
-            }
-        });
+        leaveGroup();
         if (door != null) {
             door.stop();
             operations.stop();
--- a/daemon/src/main/java/lupinvalve/cli/Main.java
+++ b/daemon/src/main/java/lupinvalve/cli/Main.java
@@ -17,11 +17,12 @@
         int run() throws Exception;
     }
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "serve, call, check-config, rehearse, wirehost or version",
+    @Argument(required = true, metaVar = "COMMAND", usage = "serve, call, store, check-config, rehearse, wirehost or version",
             handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "serve", impl = Serve.class),
         @SubCommand(name = "call", impl = Call.class),
+        @SubCommand(name = "store", impl = StoreCommand.class),
         @SubCommand(name = "check-config", impl = CheckConfig.class),
         @SubCommand(name = "rehearse", impl = Rehearse.class),
         @SubCommand(name = "wirehost", impl = WireHost.class),
@@ -44,6 +45,7 @@
             err.println("lupinvalve: " + e.getMessage());
             err.println("usage: lupinvalve serve [--config FILE] [--operator FILE] [--debug]");
             err.println("       lupinvalve call [--to ADDRESS] health|counters|cordon ID|uncordon ID|quiesce|resume");
+            err.println("       lupinvalve store CALL [WHAT...] --operator FILE [--json] [--seconds N]    (docs/store.md)");
             err.println("       lupinvalve check-config [--config FILE] [--operator FILE]");
             err.println("       lupinvalve wirehost");
             err.println("       lupinvalve version");
--- a/daemon/src/main/java/lupinvalve/cli/Operations.java
+++ b/daemon/src/main/java/lupinvalve/cli/Operations.java
@@ -24,6 +24,7 @@
     private static final long LOOK_MILLIS = 80;
     /** How many looks later it is looked whether the other process runs. */
     private static final int LOOKS = 4;
+    private static final String BY = "call";
     private final Pooler pooler;
     private final OrdersFile file;
     private final Incumbent incumbent;
@@ -34,7 +35,7 @@
         thread.setDaemon(true);
         return thread;
     });
-    private volatile boolean serving, away;
+    private volatile boolean serving, away, held;
     private int looks;
     private boolean accompanied;
     /** The worker's: the orders as they stand. */
@@ -62,7 +63,7 @@
         Orders left = file.changed(orders);
         if (left != null) {
             orders = left;
-            pooler.maintain(left);
+            pooler.maintain(BY, left);
         }
         worker.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -84,6 +85,11 @@
         return incumbent != null && incumbent.another();
     }
 
+    /** Whether the group holds this pooler. */
+    void held(boolean byGroup) {
+        held = byGroup;
+    }
+
     private void look() {
         if (looks++ % LOOKS == 0 && incumbent.accompanied() != accompanied) {
             accompanied = !accompanied;
@@ -93,13 +99,13 @@
         Orders other = file.changed(orders);
         if (other != null) {
             orders = other;
-            pooler.loop().urgent(() -> pooler.maintain(other));
+            pooler.loop().urgent(() -> pooler.maintain(BY, other));
         }
     }
 
     @Override
     public String unready() {
-        return !serving ? "not serving" : away ? "clients are sent away" : null;
+        return !serving ? "not serving" : away ? "clients are sent away" : held ? "held by the group" : null;
     }
 
     @Override
@@ -130,7 +136,7 @@
         }
         Orders now = orders;
         pooler.loop().urgent(() -> {
-            pooler.maintain(now);
+            pooler.maintain(BY, now);
             objection.accept(null);
         });
     }
--- a/daemon/src/main/java/lupinvalve/cli/Reload.java
+++ b/daemon/src/main/java/lupinvalve/cli/Reload.java
@@ -55,6 +55,7 @@
         try {
             OperatorConfig operator = files.operator();
             NodeConfig config = files.node(operator);
+            daemon.rekey();
             daemon.reconfigure(config, operator);
         } catch (IOException | RuntimeException e) {
             Log.error("configuration: the old one stays: %s", e.getMessage());
--- a/daemon/src/main/java/lupinvalve/cli/Serve.java
+++ b/daemon/src/main/java/lupinvalve/cli/Serve.java
@@ -29,7 +29,7 @@
             } catch (InterruptedException e) {
                 Log.warn("interrupted while draining");
             }
-            daemon.save();
+            daemon.leaveGroup();
             Log.info("stopped");
             Runtime.getRuntime().halt(0);
         }, "drain"));
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/cli/Shared.java
@@ -0,0 +1,129 @@
+package lupinvalve.cli;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import lupinvalve.Routing;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.core.Directory;
+import lupinvalve.core.Pooler;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Encoding;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.replication.Group;
+import lupinvalve.replication.Tokens;
+import lupinvalve.upkeep.Maintenance.Orders;
+
+/** What the group has accepted, brought to the core thread, and what the core knows brought to the group. */
+final class Shared implements Group.Pooler {
+    private static final long LOOK = 1_000_000, REFRESH = 10_000_000;
+    private static final String BY = "group";
+    private final Pooler pooler;
+    private final Group group;
+    private final Tokens tokens;
+    private final String name;
+    private final Consumer<byte[]> adopted;
+    private final Consumer<Boolean> held;
+    private Orders orders = Orders.NONE;
+    private List<Routing.Member> told = List.of();
+    private long toldAt;
+
+    /**
+     * @param adopted acts on a configuration; on the core thread
+     * @param held is told whether this pooler itself is held; on the core thread
+     */
+    Shared(Pooler pooler, OperatorConfig.Store config, Consumer<byte[]> adopted, Consumer<Boolean> held)
+            throws IOException {
+        this.pooler = pooler;
+        this.adopted = adopted;
+        this.held = held;
+        name = config.name();
+        group = new Group(config);
+        tokens = new Tokens(pooler.loop(), group, config.waitMicros(), Encoding.commits(group.warm()));
+        pooler.marks(tokens);
+    }
+
+    Group group() {
+        return group;
+    }
+
+    /** The configuration accepted before this start, or null. */
+    byte[] document() {
+        return group.warm().document() == null ? null : group.warm().document().content();
+    }
+
+    /** The db nodes that were known last, for a start before discovery answers. */
+    List<Directory.Entry> entries() {
+        List<Directory.Entry> entries = new ArrayList<>();
+        for (Change.Listed listed : group.warm().listing().nodes()) {
+            entries.add(new Directory.Entry(listed.member(), listed.addresses()));
+        }
+        return entries;
+    }
+
+    void start() throws IOException {
+        group.start(this);
+    }
+
+    /** Begins to tell the group of the list; core thread, once the pooler has started. */
+    void follow() {
+        for (Change.Listed listed : group.warm().listing().nodes()) {
+            if (listed.position() != Routing.NO_POSITION) {
+                pooler.probed(listed.member().node(), Routing.Ending.SERVED, 0, listed.position(),
+                        listed.member().listedPrimary() ? Routing.Role.PRIMARY : Routing.Role.REPLICA);
+            }
+        }
+        look();
+    }
+
+    /** The leader's pooler tells: one list for all is enough, and all poolers see the same db nodes. */
+    private void look() {
+        List<Pooler.Known> known = pooler.known();
+        List<Routing.Member> members = known.stream().map(one -> one.entry().member()).toList();
+        long now = pooler.loop().now();
+        if (group.leads() && !known.isEmpty() && (!members.equals(told) || now - toldAt > REFRESH)) {
+            told = members;
+            toldAt = now;
+            group.listing(known.stream().map(one -> new Change.Listed(one.entry().member(), one.entry().addresses(),
+                    one.position())).toList());
+        }
+        pooler.loop().after(LOOK, this::look);
+    }
+
+    // ---- the group's thread ----
+
+    @Override
+    public String objection(byte[] document) {
+        return OperatorConfig.objection(document);
+    }
+
+    @Override
+    public void adopt(Ledger.Document document) {
+        pooler.loop().post(() -> adopted.accept(document.content()));
+    }
+
+    @Override
+    public void holds(Map<Change.Holding, Ledger.Held> holds) {
+        Set<String> out = new TreeSet<>();
+        holds.keySet().stream().filter(one -> one.kind() == Change.Kind.NODE).forEach(one -> out.add(one.name()));
+        boolean self = holds.containsKey(new Change.Holding(Change.Kind.POOLER, name));
+        pooler.loop().urgent(() -> {
+            Map<String, Long> back = new HashMap<>(orders.back());
+            back.keySet().removeAll(out);
+            orders.out().stream().filter(id -> !out.contains(id)).forEach(id -> back.put(id, pooler.loop().now()));
+            orders = new Orders(out, back);
+            pooler.maintain(BY, orders);
+            held.accept(self);
+        });
+    }
+
+    @Override
+    public void commits(Change.Commits commits) {
+        pooler.loop().post(() -> tokens.accepted(commits));
+    }
+}
--- a/daemon/src/main/java/lupinvalve/config/OperatorConfig.java
+++ b/daemon/src/main/java/lupinvalve/config/OperatorConfig.java
@@ -3,13 +3,11 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * The operator's file: what is off on the platform. Each part may be absent (null).
@@ -21,8 +19,19 @@
     public record Mysql(String listen, String user, String password, int nodePort, String nodeUser,
             String nodePassword, String database) {}
 
-    /** This replica of the store; {@code secret} guards against strangers' mistakes. */
-    public record Store(String name, Path folder, String listen, List<String> peers, String secret) {}
+    /**
+     * This member of the group that keeps the configuration.
+     *
+     * @param cluster whom members may talk to at all
+     * @param listen where this member listens; others hear of it by that address
+     * @param members addresses of the members by name, as reached from here; they found the group
+     * @param waitMicros how long a booking's answer waits for a majority to hold its session's token; 0 for not at all
+     */
+    public record Store(String cluster, String name, Path folder, String listen, Map<String, String> members, Tls tls,
+            long waitMicros) {}
+
+    /** PEM files: who signs members' certificates, this member's own and its key. */
+    public record Tls(Path authority, Path certificate, Path key) {}
 
     /** Db nodes from DNS-SD instead of the platform's list. */
     public record DnsSd(String resolver, String service, long pollMicros) {}
@@ -30,6 +39,9 @@
     /** Nothing turned on, as on the platform. */
     public static final OperatorConfig NONE = new OperatorConfig(0, null, null, null);
     private static final JsonFactory JSON = new JsonFactory();
+    private static final String NAME = "[A-Za-z0-9_-]{1,63}";
+    private static final int MEMBERS_MOST = 15;
+    private static final long WAIT_MOST = 1_000_000;
 
     public static OperatorConfig read(byte[] json) throws IOException {
         long revision = 0;
@@ -61,41 +73,32 @@
         return new OperatorConfig(revision, mysql, store, dnsSd);
     }
 
-    /** What all replicas of the store share, as a document: neither the store itself nor where this one listens. */
-    public byte[] shared() {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        try (JsonGenerator out = JSON.createGenerator(bytes)) {
-            out.writeStartObject();
-            out.writeNumberField("revision", revision);
-            if (mysql != null) {
-                out.writeObjectFieldStart("mysql");
-                out.writeStringField("user", mysql.user());
-                out.writeStringField("password", mysql.password());
-                out.writeNumberField("node_port", mysql.nodePort());
-                out.writeStringField("node_user", mysql.nodeUser());
-                out.writeStringField("node_password", mysql.nodePassword());
-                out.writeStringField("database", mysql.database());
-                out.writeEndObject();
+    /** Why a document can't be the configuration that a group keeps, or null: it has no store of its own. */
+    public static String objection(byte[] document) {
+        try {
+            OperatorConfig config = read(document);
+            if (config.store != null) {
+                return "store: each member's own file has it";
             }
-            if (dnsSd != null) {
-                out.writeObjectFieldStart("dns_sd");
-                out.writeStringField("resolver", dnsSd.resolver());
-                out.writeStringField("service", dnsSd.service());
-                out.writeNumberField("poll_ms", dnsSd.pollMicros() / 1000);
-                out.writeEndObject();
+            if (config.dnsSd != null && !config.dnsSd.resolver().matches("[0-9.]+:[0-9]{1,5}|\\[[0-9a-fA-F:.]+]:[0-9]{1,5}")) {
+                return "dns_sd.resolver: " + config.dnsSd.resolver() + " is no literal address with a port";
             }
-            out.writeEndObject();
+            return null;
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return String.valueOf(e.getMessage()).replace('\n', ' ');
         }
-        return bytes.toByteArray();
     }
 
-    /** This file with the shared parts of a document; the front is on only where this file says where it listens. */
-    public OperatorConfig with(byte[] document) throws IOException {
-        OperatorConfig other = read(document);
+    /**
+     * This file with what a group keeps in the place of its own parts: only what a majority has accepted is acted on.
+     * The MySQL front is on only where this file says where it listens.
+     *
+     * @param document null where none was accepted yet
+     */
+    public OperatorConfig accepted(byte[] document) throws IOException {
+        OperatorConfig other = document == null ? NONE : read(document);
         Mysql m = other.mysql;
-        return new OperatorConfig(other.revision, m == null || mysql == null ? mysql
+        return new OperatorConfig(other.revision, m == null || mysql == null ? null
                 : new Mysql(mysql.listen, m.user, m.password, m.nodePort, m.nodeUser, m.nodePassword, m.database),
                 store, other.dnsSd);
     }
@@ -127,31 +130,76 @@
     }
 
     private static Store store(JsonParser in) throws IOException {
-        String replica = null;
+        String cluster = "lupinvalve";
+        String member = null;
         String folder = null;
         String listen = null;
-        String secret = "";
-        List<String> peers = new ArrayList<>();
+        Tls tls = null;
+        long wait = 0;
+        Map<String, String> members = new TreeMap<>();
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String name = in.currentName();
             in.nextToken();
             switch (name) {
-                case "name" -> replica = in.getValueAsString();
+                case "cluster" -> cluster = in.getValueAsString();
+                case "name" -> member = in.getValueAsString();
                 case "folder" -> folder = in.getValueAsString();
                 case "listen" -> listen = in.getValueAsString();
-                case "secret" -> secret = in.getValueAsString("");
-                case "peers" -> {
-                    while (in.nextToken() == JsonToken.VALUE_STRING) {
-                        peers.add(in.getText());
-                    }
-                }
+                case "members" -> members(in, members);
+                case "tls" -> tls = tls(in);
+                case "wait_for_majority_ms" -> wait = in.getValueAsLong(-1) * 1000;
+                case "peers", "secret" -> throw new IOException("operator's file: store." + name
+                        + " was the old store's; now store.members names all members, and store.tls guards them");
                 default -> throw unknown("store", name);
             }
         }
-        needed("store.name", replica);
+        needed("store.name", member);
         needed("store.folder", folder);
         needed("store.listen", listen);
-        return new Store(replica, Path.of(folder), listen, List.copyOf(peers), secret);
+        if (!member.matches(NAME) || !cluster.matches(NAME)) {
+            throw new IOException("operator's file: store.name and store.cluster are letters, digits, - and _: " + member
+                    + ", " + cluster);
+        }
+        if (members.isEmpty() || members.size() > MEMBERS_MOST) {
+            throw new IOException("operator's file: store.members names " + members.size() + " members; 1 to "
+                    + MEMBERS_MOST + " are possible");
+        }
+        if (wait < 0 || wait > WAIT_MOST) {
+            throw new IOException("operator's file: store.wait_for_majority_ms is " + wait / 1000 + "; 0 to "
+                    + WAIT_MOST / 1000 + " are possible");
+        }
+        return new Store(cluster, member, Path.of(folder), listen, Map.copyOf(members), tls, wait);
+    }
+
+    private static void members(JsonParser in, Map<String, String> members) throws IOException {
+        if (!in.hasToken(JsonToken.START_OBJECT)) {
+            throw new IOException("operator's file: store.members is an object of names and addresses");
+        }
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            in.nextToken();
+            String address = in.getValueAsString("");
+            if (!name.matches(NAME) || !address.matches(".+:[0-9]{1,5}")) {
+                throw new IOException("operator's file: store.members." + name + " is " + address + ", no address");
+            }
+            members.put(name, address);
+        }
+    }
+
+    private static Tls tls(JsonParser in) throws IOException {
+        Map<String, Path> files = new TreeMap<>();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            in.nextToken();
+            if (!List.of("authority", "certificate", "key").contains(name)) {
+                throw unknown("store.tls", name);
+            }
+            files.put(name, Path.of(in.getValueAsString("")));
+        }
+        for (String name : List.of("authority", "certificate", "key")) {
+            needed("store.tls." + name, files.containsKey(name) ? "" : null);
+        }
+        return new Tls(files.get("authority"), files.get("certificate"), files.get("key"));
     }
 
     private static DnsSd dnsSd(JsonParser in) throws IOException {
--- a/daemon/src/main/java/lupinvalve/core/Loop.java
+++ b/daemon/src/main/java/lupinvalve/core/Loop.java
@@ -15,10 +15,19 @@
     private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
-    private final Thread thread = new Thread(this::run, "core");
+    private final Thread thread;
     private volatile boolean stopped;
     private long longestWait, waits, waitsSince;
 
+    public Loop() {
+        this("core");
+    }
+
+    /** @param name of the thread: others than the core have tables of their own */
+    public Loop(String name) {
+        thread = new Thread(this::run, name);
+    }
+
     public void start() {
         thread.setDaemon(true);
         thread.start();
--- a/daemon/src/main/java/lupinvalve/core/Marks.java
+++ b/daemon/src/main/java/lupinvalve/core/Marks.java
@@ -20,4 +20,10 @@
 
     /** A write of the session was committed at this position. */
     void committed(String session, long position);
+
+    /** The same; {@code then} runs, on the core thread, once that is remembered as well as it is to be. */
+    default void committed(String session, long position, Runnable then) {
+        committed(session, position);
+        then.run();
+    }
 }
--- a/daemon/src/main/java/lupinvalve/core/Pooler.java
+++ b/daemon/src/main/java/lupinvalve/core/Pooler.java
@@ -46,6 +46,9 @@
         }
     }
 
+    /** A db node as it is known here; its role is the one that it has shown. */
+    public record Known(Directory.Entry entry, long position) {}
+
     private static final class Held {
         final Front front;
         final long ticket;
@@ -55,7 +58,7 @@
         long handle, token;
         int attempts;
         long firstSent;
-        boolean answered;
+        boolean answered, served;
         Deadlines.Deadline overtime;
         /** The attempt whose answer is being passed on, and the pieces so far. */
         Attempt passing;
@@ -94,6 +97,7 @@
     /** Since when db nodes that are still listed have been told as leaving. */
     private final Map<String, Long> leaving = new HashMap<>();
     private final Maintenance maintenance;
+    private final Map<String, Maintenance.Orders> ordersBy = new HashMap<>();
     private final Drain drain = new Drain();
     private final Figures figures;
     private Runnable informed = () -> { };
@@ -306,17 +310,24 @@
             Log.debug("%s#%d %s %s after %d us", held.id, a.number, a.node, ending, now - a.sentAt);
         }
         if (ending == Ending.SERVED) {
+            Runnable serve = () -> {
+                if (!held.answered) {
+                    close(held, "served", Figures.End.SERVED);
+                    held.front.served(held.ticket, answer, position, role);
+                }
+            };
             if (access(held) == Routing.Access.WRITE && held.ask.session() != null
                     && position != Routing.NO_POSITION) {
-                marks.committed(held.ask.session(), position);
-            }
-            if (!held.answered) {
-                close(held, "served", Figures.End.SERVED);
-                held.front.served(held.ticket, answer, position, role);
+                // Its answer may wait until others know the token; the wait has a bound of its own.
+                held.served = true;
+                loop.drop(held.overtime);
+                marks.committed(held.ask.session(), position, serve);
+            } else {
+                serve.run();
             }
         }
-        feed(now, new Routing.Outcome(held.id, a.number, a.node, ending, now - a.sentAt, held.answered, position,
-                role));
+        feed(now, new Routing.Outcome(held.id, a.number, a.node, ending, now - a.sentAt, held.answered || held.served,
+                position, role));
     }
 
     /** A probe has ended. */
@@ -384,10 +395,16 @@
         return maintenance.objection(takeOut, node, listing.containsKey(node), loop.now());
     }
 
-    /** Takes over the operators' orders; nothing new goes to what is out by the time that this returns. */
-    public void maintain(Maintenance.Orders orders) {
+    /**
+     * Takes over the operators' orders; nothing new goes to what is out by the time that this returns.
+     *
+     * @param by which way they came: what is out by one of them is out
+     */
+    public void maintain(String by, Maintenance.Orders orders) {
+        ordersBy.put(by, orders);
+        Maintenance.Orders all = ordersBy.values().stream().reduce(Maintenance.Orders.NONE, Maintenance.Orders::and);
         List<Directory.Entry> changed = new ArrayList<>();
-        for (String node : maintenance.take(orders, loop.now())) {
+        for (String node : maintenance.take(all, loop.now())) {
             Log.info("db node %s: %s by hand", node, maintenance.isOut(node) ? "taken out" : "called back");
             if (listing.containsKey(node)) {
                 changed.add(listing.get(node));
@@ -412,6 +429,18 @@
         return !lists(node) || since != null && loop.now() >= since + settings.rules().drainGraceMicros() * 3 / 4;
     }
 
+    /** The list as it stands, with the roles and positions that db nodes have shown; after {@link #start}. */
+    public List<Known> known() {
+        List<Known> all = new ArrayList<>();
+        for (Directory.Entry entry : listing.values()) {
+            Routing.Member m = entry.member();
+            all.add(new Known(new Directory.Entry(new Routing.Member(m.node(), m.group(), m.zone(), m.health(),
+                    router.isPrimary(m.node()), m.bornMicros()), entry.addresses()), router.position(m.node())));
+        }
+        all.sort(java.util.Comparator.comparing(known -> known.entry().member().node()));
+        return all;
+    }
+
     /** Whether the list names the db node, and not as gone. */
     public boolean lists(String node) {
         return addresses.containsKey(node);
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/ledger/Cbor.java
@@ -0,0 +1,117 @@
+package lupinvalve.ledger;
+
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import com.fasterxml.jackson.dataformat.cbor.CBORParser;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Values one after another in CBOR (RFC 8949; a sequence as in RFC 8742), as files and the wire have them. */
+public final class Cbor {
+    private static final CBORFactory FACTORY = new CBORFactory();
+
+    private Cbor() {}
+
+    /** Writes values; what went wrong in memory is a fault of the program. */
+    public static final class Out {
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        private final CBORGenerator to;
+
+        public Out() {
+            try {
+                to = FACTORY.createGenerator(bytes);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        private interface Write {
+            void run() throws IOException;
+        }
+
+        private Out write(Write write) {
+            try {
+                write.run();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return this;
+        }
+
+        public Out number(long n) {
+            return write(() -> to.writeNumber(n));
+        }
+
+        public Out text(String s) {
+            return write(() -> to.writeString(s));
+        }
+
+        public Out bytes(byte[] b) {
+            return write(() -> to.writeBinary(b));
+        }
+
+        public Out flag(boolean b) {
+            return write(() -> to.writeBoolean(b));
+        }
+
+        public byte[] done() {
+            write(to::close);
+            return bytes.toByteArray();
+        }
+    }
+
+    /** Reads values; throws where another kind stands, or none. */
+    public static final class In {
+        private final CBORParser from;
+
+        public In(byte[] bytes) throws IOException {
+            from = FACTORY.createParser(bytes);
+        }
+
+        private void next(JsonToken wanted) throws IOException {
+            JsonToken token = from.nextToken();
+            if (token != wanted) {
+                throw new IOException("CBOR: " + token + " in place of " + wanted);
+            }
+        }
+
+        public long number() throws IOException {
+            next(JsonToken.VALUE_NUMBER_INT);
+            return from.getLongValue();
+        }
+
+        /** A number of things that follow. */
+        public int count(int most) throws IOException {
+            long n = number();
+            if (n < 0 || n > most) {
+                throw new IOException("CBOR: a count of " + n);
+            }
+            return (int) n;
+        }
+
+        public String text() throws IOException {
+            next(JsonToken.VALUE_STRING);
+            return from.getText();
+        }
+
+        public byte[] bytes() throws IOException {
+            next(JsonToken.VALUE_EMBEDDED_OBJECT);
+            return from.getBinaryValue();
+        }
+
+        public boolean flag() throws IOException {
+            JsonToken token = from.nextToken();
+            if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE) {
+                throw new IOException("CBOR: " + token + " in place of a truth value");
+            }
+            return token == JsonToken.VALUE_TRUE;
+        }
+
+        /** Whether all has been read. */
+        public boolean ended() throws IOException {
+            return from.nextToken() == null;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/ledger/Compaction.java
@@ -0,0 +1,17 @@
+package lupinvalve.ledger;
+
+/** Decides when the history is cut: what is on disk stays within twice the state that it leads to. */
+public final class Compaction {
+    /** Below this much history a cut is not worth its writing. */
+    public static final long LEAST = 512 << 10;
+
+    private Compaction() {}
+
+    /**
+     * @param historyBytes of changes since the last snapshot
+     * @param stateBytes of the last snapshot
+     */
+    public static boolean due(long historyBytes, long stateBytes) {
+        return historyBytes > Math.max(LEAST, stateBytes);
+    }
+}
--- a/daemon/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/daemon/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -33,7 +33,7 @@
             | Protocol.TRANSACTIONS | Protocol.SECURE_CONNECTION | Protocol.PLUGIN_AUTH | Protocol.SESSION_TRACK
             | Protocol.DEPRECATE_EOF | Protocol.QUERY_ATTRIBUTES;
     private static final String OAEP = "RSA/ECB/OAEPWithSHA-1AndMGF1Padding";
-    private final String user, password, database;
+    private String user, password, database;
 
     public MysqlBackend(Dialer net, Pooler pooler, Bounds bounds, String user, String password, String database) {
         super(net, pooler, bounds);
@@ -48,6 +48,13 @@
         }
     }
 
+    /** Connections from now on are opened with this account; those that are up stay. Core thread. */
+    public void account(String newUser, String newPassword, String newDatabase) {
+        user = newUser;
+        password = newPassword;
+        database = newDatabase;
+    }
+
     private enum At { GREETING, LOGIN, READY, PREPARING, DEFINITIONS, ANSWER, COLUMNS, ROWS }
 
     private static final class MysqlConn extends Conn {
--- a/daemon/src/main/java/lupinvalve/net/Link.java
+++ b/daemon/src/main/java/lupinvalve/net/Link.java
@@ -317,6 +317,11 @@
         return writtenAtRead;
     }
 
+    /** What MINA's filters know of the connection. */
+    public Object attribute(Object key) {
+        return session == null ? null : session.getAttribute(key);
+    }
+
     /** Bytes given to {@link #write} so far. */
     public long handed() {
         return handed;
--- a/daemon/src/main/java/lupinvalve/net/Net.java
+++ b/daemon/src/main/java/lupinvalve/net/Net.java
@@ -8,12 +8,14 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.function.Function;
 import lupinvalve.core.Loop;
 import lupinvalve.log.Log;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.filterchain.IoFilter;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
@@ -45,18 +47,44 @@
             new SimpleIoProcessorPool<>(Processor.class, threads, 1, null);
     private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
 
+    /** What keeps strangers out of connections; it may give other filters later than it did at first. */
+    public interface Security {
+        IoFilter filter(boolean client);
+    }
+
+    private static final String SECURITY = "security";
+    private final Security security;
+    private final List<NioSocketAcceptor> acceptors = new CopyOnWriteArrayList<>();
+
     public Net(Loop loop) {
         this(loop, false);
     }
 
     /** @param urgent whether what happens on its connections goes before all that waits for the core */
     public Net(Loop loop, boolean urgent) {
+        this(loop, urgent, null);
+    }
+
+    /** @param security of all connections, or null for none */
+    public Net(Loop loop, boolean urgent, Security security) {
         this.loop = loop;
         this.urgent = urgent;
+        this.security = security;
         setUp(connector.getSessionConfig());
+        if (security != null) {
+            connector.getFilterChain().addLast(SECURITY, security.filter(true));
+        }
         connector.setHandler(new Handler());
     }
 
+    /** Connections from now on are secured as it is said now; those that are up stay. */
+    public void secureAnew() {
+        if (security != null) {
+            connector.getFilterChain().replace(SECURITY, security.filter(true));
+            acceptors.forEach(acceptor -> acceptor.getFilterChain().replace(SECURITY, security.filter(false)));
+        }
+    }
+
     /** MINA's processor, whose reads each connection may bar. */
     public static final class Processor extends NioProcessor {
         public Processor(Executor threads) {
@@ -121,6 +149,10 @@
         acceptor.setBacklog(BACKLOG);
         acceptor.setCloseOnDeactivation(false);
         setUp(acceptor.getSessionConfig());
+        if (security != null) {
+            acceptor.getFilterChain().addLast(SECURITY, security.filter(false));
+            acceptors.add(acceptor);
+        }
         acceptor.setHandler(new Handler() {
             @Override
             public void sessionCreated(IoSession session) {
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/Client.java
@@ -0,0 +1,155 @@
+package lupinvalve.replication;
+
+import java.io.ByteArrayInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.security.GeneralSecurityException;
+import java.security.cert.CertificateFactory;
+import java.security.cert.X509Certificate;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLSocket;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.net.Addresses;
+
+/**
+ * Asks the group, for the command line: one member after another until one can answer. What may have happened is told as
+ * that, and not asked again, unless asking again can do no harm.
+ */
+public final class Client {
+    private static final int CONNECT_MILLIS = 2_000, PAUSE_MILLIS = 150, LENGTH_MOST = 16 << 20;
+    private final String cluster, name;
+    private final SSLContext tls;
+    private final Map<String, String> members;
+
+    /** What came of it. */
+    public record Said(Messages.Code code, String text) {}
+
+    /** @param members whom to ask, by name; the first that answers is asked */
+    public Client(String cluster, Map<String, String> members, OperatorConfig.Tls files) throws IOException {
+        this.cluster = cluster;
+        this.members = members;
+        tls = files == null ? null : Tls.context(files);
+        name = files == null ? "operator" : named(files);
+    }
+
+    private static String named(OperatorConfig.Tls files) throws IOException {
+        try {
+            X509Certificate own = (X509Certificate) CertificateFactory.getInstance("X.509")
+                    .generateCertificate(new ByteArrayInputStream(Files.readAllBytes(files.certificate())));
+            return String.valueOf(own.getSubjectAlternativeNames().iterator().next().get(1));
+        } catch (GeneralSecurityException | RuntimeException e) {
+            throw new IOException("store.tls.certificate: " + files.certificate() + ": " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Asks until there is an answer or the time is over.
+     *
+     * @param again whether it may be asked again where it may have happened
+     */
+    public Said ask(String call, List<byte[]> arguments, boolean again, long withinMillis) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(withinMillis);
+        Said last = new Said(Messages.Code.AGAIN, "no member is in reach");
+        while (true) {
+            for (Map.Entry<String, String> member : members.entrySet()) {
+                long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+                if (left <= 0) {
+                    return last;
+                }
+                last = ask(member.getKey(), member.getValue(), call, arguments, left);
+                boolean over = last.code() == Messages.Code.UNKNOWN ? !again : last.code() != Messages.Code.AGAIN;
+                if (over) {
+                    return last;
+                }
+            }
+            try {
+                Thread.sleep(PAUSE_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return last;
+            }
+        }
+    }
+
+    private static byte[] message(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length < 1 || length > LENGTH_MOST) {
+            throw new IOException("a message of " + length + " bytes");
+        }
+        byte[] message = new byte[length];
+        in.readFully(message);
+        return message;
+    }
+
+    private Said ask(String member, String address, String call, List<byte[]> arguments, long withinMillis) {
+        boolean sent = false;
+        try (Socket plain = new Socket()) {
+            InetSocketAddress at = Addresses.parse(address);
+            plain.connect(at, (int) Math.min(CONNECT_MILLIS, withinMillis));
+            plain.setTcpNoDelay(true);
+            plain.setSoTimeout((int) Math.min(Integer.MAX_VALUE, withinMillis));
+            Socket socket = plain;
+            if (tls != null) {
+                SSLSocket secure = (SSLSocket) tls.getSocketFactory().createSocket(plain, at.getHostString(), at.getPort(),
+                        true);
+                secure.setEnabledProtocols(new String[] {Tls.VERSION});
+                secure.startHandshake();
+                Tls.check(secure.getSession(), member);
+                socket = secure;
+            }
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            // The member speaks first.
+            message(in);
+            socket.getOutputStream().write(new Messages.Hello(cluster, name, "", null).write());
+            sent = true;
+            socket.getOutputStream().write(new Messages.Call(1, call, arguments).write());
+            while (true) {
+                byte[] message = message(in);
+                if (Messages.kind(message) == Messages.Kind.ANSWER) {
+                    Messages.Answer answer = Messages.Answer.read(Messages.body(message));
+                    return new Said(answer.code(), answer.text());
+                }
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            String why = member + " at " + address + ": " + (e.getMessage() == null ? e.getClass().getSimpleName()
+                    : e.getMessage());
+            return new Said(sent ? Messages.Code.UNKNOWN : Messages.Code.AGAIN, why);
+        }
+    }
+
+    /** A stopped member's folder, read whole: what it holds, as JSON. Throws with one line that says what is damaged. */
+    public static String verify(java.nio.file.Path folder, boolean secrets) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new IOException(folder + ": no such folder");
+        }
+        try (Disk disk = new FolderDisk(folder, true)) {
+            SegmentedLog log = SegmentedLog.inspect(disk);
+            lupinvalve.ledger.Ledger ledger = Replica.warm(log);
+            List<String> files = new ArrayList<>(disk.names());
+            return Json.object(out -> {
+                out.writeStringField("member", log.word().who().toString());
+                out.writeStringField("phase", log.word().phase().name().toLowerCase(java.util.Locale.ROOT));
+                out.writeNumberField("term", log.termNumber());
+                out.writeNumberField("last_change", log.lastIndex());
+                out.writeNumberField("accepted_change", ledger.applied());
+                out.writeNumberField("revision", ledger.revision());
+                out.writeStringField("digest", ledger.document() == null ? "" : ledger.document().digest());
+                out.writeNumberField("sessions", ledger.sessionCount());
+                out.writeNumberField("holds", ledger.holds().size());
+                out.writeNumberField("files", files.size());
+                if (ledger.document() != null) {
+                    out.writeFieldName("document");
+                    out.writeRawValue(secrets ? Json.text(ledger.document().content())
+                            : Json.masked(ledger.document().content()));
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/Json.java
@@ -0,0 +1,56 @@
+package lupinvalve.replication;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Answers for operators, as JSON texts. */
+final class Json {
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final String MASKED = "***";
+
+    private Json() {}
+
+    interface Fields {
+        void to(JsonGenerator out) throws IOException;
+    }
+
+    static String object(Fields fields) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartObject();
+            fields.to(out);
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    /** A document without its secrets: what is named password, secret or key. */
+    static String masked(byte[] document) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonParser in = JSON.createParser(document); JsonGenerator out = JSON.createGenerator(text)) {
+            for (JsonToken token = in.nextToken(); token != null; token = in.nextToken()) {
+                String name = in.currentName() == null ? "" : in.currentName().toLowerCase(Locale.ROOT);
+                boolean secret = name.contains("password") || name.contains("secret") || name.endsWith("key");
+                if (secret && token.isScalarValue() && token != JsonToken.VALUE_NULL) {
+                    out.writeString(MASKED);
+                } else {
+                    out.copyCurrentEvent(in);
+                }
+            }
+        }
+        return text.toString();
+    }
+
+    static String text(byte[] document) {
+        return new String(document, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/Replica.java
@@ -0,0 +1,392 @@
+package lupinvalve.replication;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.Ordered;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.RaftRole;
+import io.microraft.exception.CannotReplicateException;
+import io.microraft.exception.IndeterminateStateException;
+import io.microraft.exception.LaggingCommitIndexException;
+import io.microraft.exception.MismatchingRaftGroupMembersCommitIndexException;
+import io.microraft.exception.NotLeaderException;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftNodeReport;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Compaction;
+import lupinvalve.ledger.Encoding;
+import lupinvalve.ledger.Identity;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.ledger.Membership;
+import lupinvalve.log.Log;
+
+/**
+ * One member's part in the group's history: the library's node, fed with messages and the disk, and the ledger that it
+ * leads to. All on one schedule. It knows no wire: whoever made it carries the messages.
+ */
+final class Replica {
+    /** The group's name for the library; who is connected is of one cluster. */
+    private static final Object GROUP = "ledger";
+    private static final int ENTRIES_AT_ONCE = 512, PENDING_MOST = 20_000;
+    /** A bound on the library's own table only: history is cut by its bytes. */
+    private static final int CHANGES_MOST = 100_000;
+    /** In the library's time, which runs faster by {@link Pace#FACTOR}. */
+    private static final int HEARTBEAT_SECONDS = 1, SILENCE_SECONDS = 6, ELECTION_MILLIS = 3000;
+
+    /** Carries messages to other members; what can't be carried is dropped. */
+    interface Sending {
+        void send(Identity to, byte[] message);
+
+        boolean reaches(Identity who);
+    }
+
+    /** Hears what was accepted, in order. */
+    interface Watcher {
+        void applied(long index, Change change, Ledger.Outcome outcome);
+
+        /** The state is another one, without the changes that led to it. */
+        void restored();
+
+        /** This member takes no part any more. */
+        void ended(String why);
+    }
+
+    /** What has become of something asked. */
+    enum Fate {
+        DONE,
+        /** It has not happened, and may be asked of the leader, or again. */
+        ELSEWHERE,
+        /** It has not happened, and can't. */
+        REFUSED,
+        /** It may have happened. */
+        UNKNOWN
+    }
+
+    /** Takes the fate, and what came of it where that is {@link Fate#DONE}. */
+    interface Then<T> {
+        void done(Fate fate, T result);
+    }
+
+    private final Schedule schedule;
+    private final Pace pace;
+    private final SegmentedLog log;
+    private final Sending sending;
+    private final Watcher watcher;
+    private final Ledger ledger = new Ledger();
+    private final Identity self;
+    private final RaftNode node;
+    private boolean snapshotting, ended;
+
+    /** @param founders of the group */
+    Replica(Schedule schedule, SegmentedLog log, Set<Identity> founders, Sending sending, Random random,
+            Watcher watcher) {
+        this.schedule = schedule;
+        this.log = log;
+        this.sending = sending;
+        this.watcher = watcher;
+        self = log.word().who();
+        pace = new Pace(schedule);
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP)
+                .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(HEARTBEAT_SECONDS)
+                        .setLeaderHeartbeatTimeoutSecs(SILENCE_SECONDS).setLeaderElectionTimeoutMillis(ELECTION_MILLIS)
+                        .setAppendEntriesRequestBatchSize(ENTRIES_AT_ONCE).setMaxPendingLogEntryCount(PENDING_MOST)
+                        .setCommitCountToTakeSnapshot(CHANGES_MOST).setRaftNodeReportPublishPeriodSecs(60).build())
+                .setTransport(new Carrier()).setStateMachine(new Machine()).setExecutor(pace).setStore(log)
+                .setModelFactory(Models.FACTORY).setRandom(random).setClock(pace);
+        RestoredRaftState restored = log.restored();
+        if (restored != null) {
+            builder.setRestoredState(restored);
+        } else {
+            builder.setLocalEndpoint(new Endpoint(self)).setInitialGroupMembers(Endpoint.all(founders));
+        }
+        node = builder.build();
+        log.onFailure(() -> schedule.post(() -> end("the disk fails")));
+    }
+
+    void start() {
+        node.start().whenComplete((ok, failure) -> {
+            if (failure != null) {
+                schedule.post(() -> end("start: " + failure.getMessage()));
+            }
+        });
+        log.forget();
+    }
+
+    /** Takes no part any more; what was asked and not answered may have happened. */
+    void end(String why) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        node.terminate();
+        // The library's own last work is to fail what was asked; it must not reach a disk that is closed.
+        schedule.post(pace::stop);
+        watcher.ended(why);
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    Ledger ledger() {
+        return ledger;
+    }
+
+    Identity self() {
+        return self;
+    }
+
+    private final class Carrier implements Transport {
+        @Override
+        public void send(RaftEndpoint target, RaftMessage message) {
+            // Nothing is acknowledged, and no vote given, by a disk that fails.
+            if (!ended && !log.hasFailed()) {
+                sending.send(Endpoint.of(target), Models.write(message));
+            }
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint endpoint) {
+            return sending.reaches(Endpoint.of(endpoint));
+        }
+    }
+
+    /** A question to the ledger, in place of a change. */
+    private record Question() {}
+
+    private final class Machine implements StateMachine {
+        @Override
+        public Object runOperation(long index, Object operation) {
+            if (operation instanceof Question) {
+                return null;
+            }
+            Change change;
+            try {
+                change = Encoding.read((byte[]) operation);
+            } catch (IOException e) {
+                // To pass it over would be to hold another state than those who can read it.
+                Log.error("store: change %s can't be read: %s", index, e.getMessage());
+                schedule.post(() -> end("change " + index + " is of a later version"));
+                throw new IllegalStateException(e);
+            }
+            Ledger.Outcome outcome = ledger.apply(index, change);
+            try {
+                log.accepted(index);
+                if (change instanceof Change.Put) {
+                    // It is acted on from now on, so that a restart without the others must know of it.
+                    log.flush();
+                }
+            } catch (IOException e) {
+                // The log has told of it, and ends this member.
+                return outcome;
+            }
+            watcher.applied(index, change, outcome);
+            if (!snapshotting && Compaction.due(log.historyBytes(), log.snapshotBytes())) {
+                snapshotting = true;
+                schedule.post(() -> node.takeSnapshot().whenComplete((report, failure) -> snapshotting = false));
+            }
+            return outcome;
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> pieces) {
+            Encoding.snapshot(ledger).forEach(pieces);
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> pieces) {
+            try {
+                Encoding.restore(ledger, pieces.stream().map(piece -> (byte[]) piece).toList());
+                log.accepted(index);
+            } catch (IOException e) {
+                Log.error("store: the snapshot at %s can't be read: %s", index, e.getMessage());
+                schedule.post(() -> end("the snapshot is of a later version"));
+                throw new IllegalStateException(e);
+            }
+            watcher.restored();
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            return Encoding.write(new Change.Nothing());
+        }
+    }
+
+    // ---- asked ----
+
+    void handle(byte[] message) throws IOException {
+        if (!ended) {
+            RaftMessage read = Models.read(GROUP, message);
+            node.handle(read instanceof AppendEntriesRequest request ? within(request) : read);
+        }
+    }
+
+    /**
+     * Guards against a fault of the library (0.7): what is accepted may be told up to the end of the entries sent, and it
+     * takes that for its own new mark even where it stands further already, as when a new leader feels its way back.
+     * With the mark told cut to those entries it compares rightly; nothing else reads it.
+     */
+    private static AppendEntriesRequest within(AppendEntriesRequest m) {
+        long end = m.getPreviousLogIndex() + m.getLogEntries().size();
+        if (m.getCommitIndex() <= end) {
+            return m;
+        }
+        var cut = Models.FACTORY.createAppendEntriesRequestBuilder();
+        cut.setGroupId(GROUP).setSender(m.getSender()).setTerm(m.getTerm());
+        return cut.setPreviousLogTerm(m.getPreviousLogTerm()).setPreviousLogIndex(m.getPreviousLogIndex())
+                .setCommitIndex(end).setLogEntries(m.getLogEntries())
+                .setQuerySequenceNumber(m.getQuerySequenceNumber())
+                .setFlowControlSequenceNumber(m.getFlowControlSequenceNumber()).build();
+    }
+
+    boolean leads() {
+        return !ended && leader() != null && leader().equals(self);
+    }
+
+    /** The leader as far as is known here, or null. */
+    Identity leader() {
+        RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+        return leader == null || ended ? null : Endpoint.of(leader);
+    }
+
+    int term() {
+        return node.getTerm().getTerm();
+    }
+
+    private static Fate fate(Throwable failure) {
+        Throwable cause = failure instanceof java.util.concurrent.CompletionException ? failure.getCause() : failure;
+        if (cause instanceof NotLeaderException || cause instanceof CannotReplicateException
+                || cause instanceof LaggingCommitIndexException) {
+            return Fate.ELSEWHERE;
+        }
+        return cause instanceof IllegalArgumentException || cause instanceof IllegalStateException
+                && !(cause instanceof IndeterminateStateException)
+                || cause instanceof MismatchingRaftGroupMembersCommitIndexException ? Fate.REFUSED : Fate.UNKNOWN;
+    }
+
+    private <T> void answer(CompletableFuture<Ordered<T>> asked, Then<T> then) {
+        asked.whenComplete((ordered, failure) -> schedule.post(() -> {
+            if (failure != null) {
+                Fate fate = fate(failure);
+                if (fate == Fate.REFUSED) {
+                    Log.info("store: %s", failure.getMessage());
+                }
+                then.done(fate, null);
+            } else if (log.hasFailed()) {
+                // A majority may hold it all the same, but this disk does not, and answers for nothing.
+                then.done(Fate.UNKNOWN, null);
+            } else {
+                then.done(Fate.DONE, ordered.getResult());
+            }
+        }));
+    }
+
+    void propose(Change change, Then<Ledger.Outcome> then) {
+        if (ended) {
+            then.done(Fate.ELSEWHERE, null);
+            return;
+        }
+        answer(node.replicate(Encoding.write(change)), then);
+    }
+
+    /** Answers once the ledger here holds all that was accepted anywhere before the question. */
+    void upToDate(Then<Object> then) {
+        if (ended) {
+            then.done(Fate.ELSEWHERE, null);
+            return;
+        }
+        answer(node.query(new Question(), QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), then);
+    }
+
+    void snapshot(Then<RaftNodeReport> then) {
+        if (ended) {
+            then.done(Fate.ELSEWHERE, null);
+            return;
+        }
+        answer(node.takeSnapshot(), then);
+    }
+
+    void report(Then<RaftNodeReport> then) {
+        if (ended) {
+            then.done(Fate.ELSEWHERE, null);
+            return;
+        }
+        answer(node.getReport(), then);
+    }
+
+    /** The group as this member sees it as its leader; whether it is must be asked apart. */
+    static Membership.View view(RaftNodeReport report, Set<Identity> strangers, Set<Identity> inReach) {
+        Set<Identity> voting = Endpoint.identities(report.getEffectiveMembers().getVotingMembers());
+        Set<Identity> learning = Endpoint.identities(report.getEffectiveMembers().getMembers());
+        learning.removeAll(voting);
+        Identity self = Endpoint.of(report.getEndpoint());
+        Set<Identity> reached = new TreeSet<>(inReach);
+        reached.add(self);
+        Map<Identity, Long> matching = new HashMap<>();
+        report.getLog().getFollowerMatchIndices().forEach((one, index) -> matching.put(Endpoint.of(one), index));
+        return new Membership.View(self, voting, learning, strangers, reached, matching,
+                report.getLog().getLastLogOrSnapshotIndex());
+    }
+
+    /** Takes a step that membership decided on. */
+    void step(Membership.Step step, RaftNodeReport report, Then<Object> then) {
+        if (step instanceof Membership.Step.Learn learn) {
+            change(learn.who(), MembershipChangeMode.ADD_LEARNER, report, then);
+        } else if (step instanceof Membership.Step.Promote promote) {
+            change(promote.who(), MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER, report, then);
+        } else if (step instanceof Membership.Step.Remove remove) {
+            change(remove.who(), MembershipChangeMode.REMOVE_MEMBER, report, then);
+        } else if (step instanceof Membership.Step.HandOver over) {
+            answer(node.transferLeadership(new Endpoint(over.to())), then);
+        }
+    }
+
+    private void change(Identity who, MembershipChangeMode mode, RaftNodeReport report, Then<Object> then) {
+        answer(node.changeMembership(new Endpoint(who), mode, report.getCommittedMembers().getLogIndex()),
+                (fate, members) -> then.done(fate, members));
+    }
+
+    /** Whether this member has a say in the group now. */
+    boolean active() {
+        return !ended && node.getStatus() != RaftNodeStatus.TERMINATED;
+    }
+
+    static boolean leads(RaftNodeReport report) {
+        return report.getRole() == RaftRole.LEADER;
+    }
+
+    /** What was accepted as far as this member's own disk tells: the state to start from before others are heard. */
+    static Ledger warm(SegmentedLog log) throws IOException {
+        Ledger ledger = new Ledger();
+        List<byte[]> pieces = log.snapshotPieces();
+        if (!pieces.isEmpty()) {
+            Encoding.restore(ledger, pieces);
+        }
+        Collection<LogEntry> accepted = log.accepted().values();
+        for (LogEntry entry : accepted) {
+            if (entry.getOperation() instanceof byte[] change) {
+                ledger.apply(entry.getIndex(), Encoding.read(change));
+            }
+        }
+        return ledger;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/Schedule.java
@@ -0,0 +1,34 @@
+package lupinvalve.replication;
+
+import lupinvalve.core.Loop;
+
+/** Where a member's work runs, one piece after another, and what time it is there. */
+public interface Schedule {
+    long now();
+
+    /** Runs work soon; from any thread. */
+    void post(Runnable work);
+
+    /** Runs work after so many microseconds; from this schedule's own work only. */
+    void after(long micros, Runnable work);
+
+    /** A thread of its own: forces of the disk would hold up the requests on the core's. */
+    static Schedule of(Loop loop) {
+        return new Schedule() {
+            @Override
+            public long now() {
+                return loop.now();
+            }
+
+            @Override
+            public void post(Runnable work) {
+                loop.post(work);
+            }
+
+            @Override
+            public void after(long micros, Runnable work) {
+                loop.after(micros, work);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/Tokens.java
@@ -0,0 +1,55 @@
+package lupinvalve.replication;
+
+import java.util.Map;
+import lupinvalve.core.Loop;
+import lupinvalve.core.Marks;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Sessions;
+
+/**
+ * Sessions' last commits on the core thread: this pooler's own at once, all others' once a majority holds them. A booking's
+ * answer may wait for that, within a bound: its session then reads its own writes at any pooler.
+ */
+public final class Tokens implements Marks {
+    private final Loop loop;
+    private final Group group;
+    private final long waitMicros;
+    private final Sessions sessions = new Sessions();
+
+    /** @param known what was accepted before this start */
+    public Tokens(Loop loop, Group group, long waitMicros, Change.Commits known) {
+        this.loop = loop;
+        this.group = group;
+        this.waitMicros = waitMicros;
+        sessions.take(known.atMicros(), known.positions());
+    }
+
+    /** Commits that a majority holds; core thread. */
+    public void accepted(Change.Commits commits) {
+        sessions.take(commits.atMicros(), commits.positions());
+    }
+
+    @Override
+    public long lastCommit(String session) {
+        return sessions.last(session);
+    }
+
+    @Override
+    public void committed(String session, long position) {
+        sessions.take(loop.now(), Map.of(session, position));
+        group.committed(session, position, null);
+    }
+
+    @Override
+    public void committed(String session, long position, Runnable then) {
+        if (waitMicros == 0) {
+            committed(session, position);
+            then.run();
+            return;
+        }
+        sessions.take(loop.now(), Map.of(session, position));
+        // Whichever comes first: the second time changes nothing.
+        group.committed(session, position, () -> loop.post(then));
+        loop.after(waitMicros, then);
+    }
+}
--- a/daemon/src/main/java/lupinvalve/upkeep/Drain.java
+++ b/daemon/src/main/java/lupinvalve/upkeep/Drain.java
@@ -8,7 +8,7 @@
 public final class Drain {
     /** From the call until connections are ended: the front asks every 0.1 s, and stops 0.2 s after a no. */
     public static final long ENDS_AFTER = 500_000;
-    private long since = Long.MAX_VALUE;
+    private long since = Long.MAX_VALUE, heldSince = Long.MAX_VALUE;
     private boolean leaving;
 
     /** Clients are sent away; a second call changes nothing. */
@@ -21,6 +21,11 @@
         since = Long.MAX_VALUE;
     }
 
+    /** The group holds this pooler, or does no more, whatever was said to it alone. */
+    public void hold(boolean held, long nowMicros) {
+        heldSince = held ? Math.min(heldSince, nowMicros) : Long.MAX_VALUE;
+    }
+
     /** The program ends, and somebody else has taken over its address or nobody can: connections end from now on. */
     public void leave() {
         leaving = true;
@@ -28,12 +33,13 @@
 
     /** Whether the empty query gets a yes. While the program ends it does: there may be nobody else to ask. */
     public boolean welcomes() {
-        return since == Long.MAX_VALUE;
+        return since == Long.MAX_VALUE && heldSince == Long.MAX_VALUE;
     }
 
     /** Whether connections on which nothing is due are ended. */
     public boolean ends(long nowMicros) {
-        return leaving || since != Long.MAX_VALUE && nowMicros - since >= ENDS_AFTER;
+        long from = Math.min(since, heldSince);
+        return leaving || from != Long.MAX_VALUE && nowMicros - from >= ENDS_AFTER;
     }
 
     public boolean leaving() {
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/cli/GroupTest.java
@@ -0,0 +1,265 @@
+package lupinvalve.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.log.Log;
+import lupinvalve.replication.Group;
+import lupinvalve.stories.World;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Three members over real sockets with certificates, and what operators ask of them on the command line. */
+class GroupTest {
+    private static final List<String> NAMES = List.of("a", "b", "c");
+    @TempDir
+    private static Path keys;
+    @TempDir
+    private Path folder;
+    private final Map<String, String> addresses = new TreeMap<>();
+    private final Map<String, Group> groups = new HashMap<>();
+    private final Map<String, Ledger.Document> acting = new ConcurrentHashMap<>();
+    private final Map<String, Map<Change.Holding, Ledger.Held>> holds = new ConcurrentHashMap<>();
+    private final Map<String, Map<String, Long>> tokens = new ConcurrentHashMap<>();
+
+    @BeforeAll
+    static void authorities() throws Exception {
+        Log.to(new PrintStream(new ByteArrayOutputStream()));
+        Keys.make(keys.resolve("own"), NAMES);
+        Keys.make(keys.resolve("foreign"), List.of("c"));
+        Keys.make(keys.resolve("old"), List.of("c"), List.of("-startdate", "-10d", "-validity", "5"));
+        // Signed by the right authority's name, but out of time: only the authority's file is shared.
+        Files.copy(keys.resolve("old/authority.pem"), keys.resolve("both.pem"));
+        Files.write(keys.resolve("both.pem"), Files.readAllBytes(keys.resolve("own/authority.pem")),
+                java.nio.file.StandardOpenOption.APPEND);
+    }
+
+    @AfterAll
+    static void loud() {
+        Log.to(System.err);
+    }
+
+    @AfterEach
+    void end() {
+        groups.values().forEach(Group::stop);
+    }
+
+    private void places() throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        for (String name : NAMES) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(socket);
+            addresses.put(name, "127.0.0.1:" + socket.getLocalPort());
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+    }
+
+    private static OperatorConfig.Tls tls(String authority, String of, String name) {
+        return new OperatorConfig.Tls(keys.resolve(authority), keys.resolve(of + "/" + name + ".pem"),
+                keys.resolve(of + "/" + name + ".key"));
+    }
+
+    private OperatorConfig.Store config(String name, OperatorConfig.Tls tls) {
+        return new OperatorConfig.Store("plant", name, folder.resolve(name), addresses.get(name), addresses, tls, 0);
+    }
+
+    private Group start(String name, OperatorConfig.Tls tls) throws IOException {
+        Group group = new Group(config(name, tls));
+        groups.put(name, group);
+        group.start(new Group.Pooler() {
+            @Override
+            public String objection(byte[] document) {
+                return OperatorConfig.objection(document);
+            }
+
+            @Override
+            public void adopt(Ledger.Document document) {
+                acting.put(name, document);
+            }
+
+            @Override
+            public void holds(Map<Change.Holding, Ledger.Held> now) {
+                holds.put(name, now);
+            }
+
+            @Override
+            public void commits(Change.Commits commits) {
+                tokens.computeIfAbsent(name, n -> new ConcurrentHashMap<>()).putAll(commits.positions());
+            }
+        });
+        return group;
+    }
+
+    private Path file(String name, OperatorConfig.Tls tls) throws IOException {
+        StringBuilder members = new StringBuilder();
+        addresses.forEach((n, at) -> members.append(members.isEmpty() ? "" : ",").append("\"" + n + "\":\"" + at + "\""));
+        return Files.writeString(folder.resolve(name + ".json"), "{\"store\":{\"cluster\":\"plant\",\"name\":\"" + name
+                + "\",\"folder\":\"" + folder.resolve(name) + "\",\"listen\":\"" + addresses.get(name) + "\",\"members\":{"
+                + members + "}" + (tls == null ? "" : ",\"tls\":{\"authority\":\"" + tls.authority()
+                + "\",\"certificate\":\"" + tls.certificate() + "\",\"key\":\"" + tls.key() + "\"}") + "}}");
+    }
+
+    private record Said(int code, String out, String err) {}
+
+    /** The command line, as operators have it. */
+    private static Said store(Path operator, String... words) throws Exception {
+        StoreCommand command = new StoreCommand();
+        List<String> line = new ArrayList<>(List.of(words));
+        if (operator != null) {
+            line.addAll(List.of("--operator", operator.toString()));
+        }
+        new org.kohsuke.args4j.CmdLineParser(command).parseArgument(line);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        command.out = new PrintStream(out);
+        command.err = new PrintStream(err);
+        Log.Level before = Log.least();
+        try {
+            int code = command.run();
+            return new Said(code, out.toString(StandardCharsets.UTF_8).strip(), err.toString(StandardCharsets.UTF_8).strip());
+        } catch (IOException | IllegalArgumentException e) {
+            return new Said(1, "", e.getMessage());
+        } finally {
+            Log.least(before);
+        }
+    }
+
+    private Path document(String text) throws IOException {
+        return Files.writeString(Files.createTempFile(folder, "document", ".json"), text);
+    }
+
+    private void all() throws IOException {
+        places();
+        for (String name : NAMES) {
+            start(name, tls("own/authority.pem", "own", name));
+        }
+    }
+
+    @Test
+    void operatorsPutHoldAndReplaceAMemberThatLostItsDisk() throws Exception {
+        all();
+        Path a = file("a", tls("own/authority.pem", "own", "operator"));
+        Path c = file("c", tls("own/authority.pem", "own", "c"));
+        String document = document("{\"mysql\":{\"user\":\"portal\",\"password\":\"towel\"}}").toString();
+        assertEquals(new Said(0, "changed: true\nrevision: 1", ""), store(c, "put", document, "--revision", "0"));
+        assertEquals(new Said(StoreCommand.CONFLICT, "", "lupinvalve: revision 1 holds by now"),
+                store(a, "put", document, "--revision", "0"));
+        Said bad = store(a, "put", document("{\"mysql\":{\"usr\":1}}").toString(), "--revision", "1");
+        assertTrue(bad.code() == 1 && bad.err().endsWith("mysql.usr is unknown"), bad.err());
+        World.await("adopted by all", () -> acting.size() == 3);
+        assertEquals(1, acting.values().stream().map(Ledger.Document::digest).distinct().count());
+        assertTrue(store(a, "get").out().contains("document.mysql.password: ***"));
+        assertTrue(store(a, "get", "--show-secrets").out().contains("document.mysql.password: towel"));
+        assertEquals(0, store(a, "hold", "node", "db-7", "--why", "new disk").code());
+        World.await("held everywhere", () -> holds.values().stream().filter(h -> h.size() == 1).count() == 3);
+        assertTrue(store(c, "holds").out().contains("holds.0.why: new disk"));
+        assertEquals(0, store(a, "release", "node", "db-7").code());
+
+        groups.remove("b").stop();
+        assertTrue(store(null, "verify", folder.resolve("b").toString()).out().contains("revision: 1"));
+        Files.move(folder.resolve("b"), folder.resolve("b.lost"));
+        start("b", tls("own/authority.pem", "own", "b"));
+        Said added = store(a, "add", "b", "--json");
+        assertEquals(0, added.code(), added.err());
+        assertEquals(3, added.out().split("\"votes\"").length - 1);
+        groups.remove("a").stop();
+        assertEquals(0, store(c, "put", document, "--revision", "1").code(), "the new one counts");
+        Said again = store(c, "remove", "c");
+        assertTrue(again.code() == 1 && again.err().contains("no majority"), again.err());
+        assertTrue(store(c, "status").out().contains("phase: founded"));
+    }
+
+    @Test
+    void nobodyIsLetInByAForeignAnOldOrAnotherOnesCertificate() throws Exception {
+        places();
+        start("a", tls("both.pem", "own", "a"));
+        start("b", tls("both.pem", "own", "b"));
+        start("c", tls("both.pem", "old", "c"));
+        Path foreign = file("c", new OperatorConfig.Tls(keys.resolve("both.pem"), keys.resolve("foreign/c.pem"),
+                keys.resolve("foreign/c.key")));
+        assertTrue(store(foreign, "members", "--seconds", "1").code() != 0);
+        Thread.sleep(500);
+        assertEquals(0, groups.values().stream().filter(Group::leads).count(), "without the third nothing is founded");
+        // With a certificate that is good by now, read anew, it is let in.
+        groups.remove("c").stop();
+        start("c", tls("both.pem", "own", "c"));
+        World.await("founded", () -> groups.values().stream().anyMatch(Group::leads));
+        for (Group group : groups.values()) {
+            group.reload();
+        }
+        assertEquals(0, store(file("b", tls("both.pem", "own", "b")), "put", document("{}").toString(), "--revision", "0").code());
+    }
+
+    @Test
+    void aRestartGoesOnWithWhatWasAcceptedThoughItIsAlone() throws Exception {
+        all();
+        Path a = file("a", tls("own/authority.pem", "own", "a"));
+        assertEquals(0, store(a, "put", document("{\"mysql\":{\"user\":\"x\"}}").toString(), "--revision", "0").code());
+        AtomicInteger held = new AtomicInteger();
+        groups.get("b").committed("session-1", 4_000_000_000_000_000L, held::incrementAndGet);
+        World.await("a majority holds the token", () -> held.get() == 1);
+        World.await("adopted by all", () -> acting.size() == 3);
+        for (String name : NAMES) {
+            groups.remove(name).stop();
+        }
+        acting.clear();
+        Group alone = start("a", tls("own/authority.pem", "own", "a"));
+        World.await("acted on", () -> acting.containsKey("a"));
+        assertEquals(1, acting.get("a").revision());
+        assertEquals(1, alone.warm().revision());
+        assertFalse(alone.leads());
+        Said put = store(a, "put", document("{}").toString(), "--revision", "1", "--seconds", "1");
+        assertEquals(StoreCommand.NOBODY, put.code(), put.err());
+        World.await("says so", () -> {
+            try {
+                return store(a, "status").out().contains("cut_off: true");
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        assertTrue(store(a, "status").out().contains("acting: serving with revision 1"));
+    }
+
+    @Test
+    void filesAreForTheirOwnerAloneAndAFolderIsForOneProcess() throws Exception {
+        places();
+        start("a", tls("own/authority.pem", "own", "a"));
+        assertThrows(IOException.class, () -> new Group(config("a", tls("own/authority.pem", "own", "a"))));
+        try (Stream<Path> files = Stream.of(Files.list(keys.resolve("own")), Files.list(folder.resolve("a"))).flatMap(s -> s)) {
+            for (Path file : files.filter(f -> !f.endsWith("lock")).toList()) {
+                assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(file)), file.toString());
+            }
+        }
+        OperatorConfig.Store open = new OperatorConfig.Store("plant", "z", folder.resolve("z"), "0.0.0.0:1", addresses, null, 0);
+        assertTrue(assertThrows(IOException.class, () -> new Group(open)).getMessage().startsWith("store.tls is missing"));
+        assertNull(acting.get("a"));
+    }
+}
--- a/daemon/src/test/java/lupinvalve/mysql/MysqlTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlTest.java
@@ -1,7 +1,9 @@
 package lupinvalve.mysql;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -16,7 +18,10 @@
 import java.sql.Statement;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import lupinvalve.config.OperatorConfig;
+import lupinvalve.replication.Client;
+import lupinvalve.replication.Messages;
 import lupinvalve.stories.DbNode;
 import lupinvalve.stories.DbNode.Makes;
 import lupinvalve.stories.World;
@@ -42,9 +47,19 @@
     }
 
     private World world(int sockets) throws Exception {
-        return new World(sockets, new OperatorConfig(1, new OperatorConfig.Mysql("127.0.0.1:0", "portal", "towel", 0,
-                MysqlPort.USER, MysqlPort.PASSWORD, ""),
-                new OperatorConfig.Store("n0", folder, "127.0.0.1:0", List.of(), ""), null), primary, replica);
+        Map<String, String> members = Map.of("n0", "127.0.0.1:1");
+        World world = new World(sockets, new OperatorConfig(1, new OperatorConfig.Mysql("127.0.0.1:0", "nobody", "", 0,
+                "", "", ""), new OperatorConfig.Store("test", "n0", folder, "127.0.0.1:0", members, null, 0), null),
+                primary, replica);
+        // The front is served once a configuration with its accounts has been accepted.
+        assertNull(world.daemon.mysqlAddress());
+        String document = "{\"mysql\": {\"user\": \"portal\", \"password\": \"towel\", \"node_user\": \"" + MysqlPort.USER
+                + "\", \"node_password\": \"" + MysqlPort.PASSWORD + "\"}}";
+        Client operator = new Client("test", Map.of("n0", "127.0.0.1:" + world.daemon.storeAddress().getPort()), null);
+        assertEquals(Messages.Code.OK, operator.ask("put", List.of("0".getBytes(UTF_8), document.getBytes(UTF_8)), false,
+                10_000).code());
+        World.await("served", () -> world.daemon.mysqlAddress() != null);
+        return world;
     }
 
     private static Connection client(World world) throws SQLException {
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/replication/MemoryDisk.java
@@ -0,0 +1,112 @@
+package lupinvalve.replication;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+
+/** A disk that loses what was not forced, and may fail or lie. */
+final class MemoryDisk implements Disk {
+    private static final class File {
+        byte[] bytes = {};
+        int forced;
+    }
+
+    final TreeMap<String, File> files = new TreeMap<>();
+    /** Bytes that it still takes; a disk that is full takes the part that fits. */
+    long room = Long.MAX_VALUE;
+    /** Says that it has forced what it has not. */
+    boolean lies;
+
+    /** Loses power: of each file's unforced bytes some of the first remain. */
+    void crash(Random random) {
+        files.values().forEach(file -> {
+            file.bytes = Arrays.copyOf(file.bytes, file.forced + random.nextInt(file.bytes.length - file.forced + 1));
+            file.forced = file.bytes.length;
+        });
+    }
+
+    byte[] content(String name) {
+        return files.get(name).bytes;
+    }
+
+    void put(String name, byte[] bytes) {
+        File file = new File();
+        file.bytes = bytes;
+        file.forced = bytes.length;
+        files.put(name, file);
+    }
+
+    MemoryDisk copy() {
+        MemoryDisk copy = new MemoryDisk();
+        files.forEach((name, file) -> copy.put(name, file.bytes.clone()));
+        return copy;
+    }
+
+    private void take(int count) throws IOException {
+        room -= count;
+        if (room < 0) {
+            room = 0;
+            throw new IOException("No space left on device");
+        }
+    }
+
+    @Override
+    public List<String> names() {
+        return List.copyOf(files.keySet());
+    }
+
+    @Override
+    public byte[] read(String name) {
+        return files.get(name).bytes.clone();
+    }
+
+    @Override
+    public Out create(String name) throws IOException {
+        take(0);
+        File file = new File();
+        files.put(name, file);
+        return new Out() {
+            @Override
+            public void write(byte[] bytes) throws IOException {
+                int fits = (int) Math.min(bytes.length, room);
+                int at = file.bytes.length;
+                file.bytes = Arrays.copyOf(file.bytes, at + fits);
+                System.arraycopy(bytes, 0, file.bytes, at, fits);
+                take(bytes.length);
+            }
+
+            @Override
+            public void force() {
+                file.forced = lies ? file.forced : file.bytes.length;
+            }
+
+            @Override
+            public void close() {
+                // Nothing is held.
+            }
+        };
+    }
+
+    @Override
+    public void replace(String name, byte[] content) throws IOException {
+        take(content.length);
+        put(name, content);
+    }
+
+    @Override
+    public void truncate(String name, long size) {
+        put(name, Arrays.copyOf(files.get(name).bytes, (int) size));
+    }
+
+    @Override
+    public void delete(String name) {
+        files.remove(name);
+    }
+
+    @Override
+    public void close() {
+        // Nothing is held.
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/replication/SimulationTest.java
@@ -0,0 +1,291 @@
+package lupinvalve.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.ledger.Membership;
+import lupinvalve.log.Log;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/** The group under faults, in virtual time: kills, cuts, pauses, full and lying disks, changes of members. */
+class SimulationTest {
+    private static final int SCHEDULES = 4000;
+
+    @BeforeAll
+    static void quiet() {
+        Log.least(Log.Level.ERROR);
+        Log.to(new java.io.PrintStream(java.io.OutputStream.nullOutputStream()));
+    }
+
+    @org.junit.jupiter.api.AfterAll
+    static void loud() {
+        Log.to(System.err);
+    }
+
+    /** One course of random faults; gives what was wrong. */
+    private static List<String> schedule(long seed, boolean lying) {
+        try {
+            Simulation sim = new Simulation(seed, seed % 3 == 0 ? 5 : 3, 0);
+            Simulation.Clients clients = sim.new Clients();
+            sim.each(m -> m.disk.lies = lying);
+            for (int step = 0; step < 60; step++) {
+                switch (sim.random.nextInt(12)) {
+                    case 0 -> fault(sim);
+                    case 1 -> sim.heal();
+                    case 2 -> {
+                        for (Simulation.Member m : sim.members) {
+                            if (m.replica == null) {
+                                m.start();
+                            }
+                        }
+                    }
+                    default -> {
+                        sim.each(m -> {
+                            if (m.runs() && m.replica.leads()) {
+                                clients.put(m);
+                                clients.read(m);
+                            }
+                        });
+                    }
+                }
+                sim.run(20_000 + sim.random.nextInt(150_000));
+            }
+            sim.heal();
+            for (Simulation.Member m : sim.members) {
+                if (m.replica == null) {
+                    m.start();
+                }
+            }
+            int before = clients.acknowledged.size();
+            boolean settled = sim.until(() -> {
+                if (sim.leader() != null) {
+                    clients.put(sim.leader());
+                }
+                return clients.acknowledged.size() > before;
+            });
+            if (!settled) {
+                sim.faults.add("nothing was accepted after all was healed");
+            } else {
+                // Those that were still asleep catch up as well.
+                sim.until(() -> sim.members.stream().allMatch(clients::caughtUp));
+                sim.each(clients::check);
+            }
+            return sim.faults;
+        } catch (IOException | RuntimeException e) {
+            return List.of("seed " + seed + ": " + e);
+        }
+    }
+
+    private static void fault(Simulation sim) {
+        Simulation.Member one = sim.any();
+        Simulation.Member other = sim.any();
+        switch (sim.random.nextInt(6)) {
+            case 0 -> one.kill();
+            case 1 -> sim.cut[one.number][other.number] = true;
+            case 2 -> sim.each(m -> {
+                sim.cut[m.number][one.number] = true;
+                sim.cut[one.number][m.number] = true;
+            });
+            case 3 -> one.pausedUntil = sim.now + 10_000_000;
+            case 4 -> sim.loss = 0.3;
+            default -> {
+                // The leader, while its changes are on their way.
+                Simulation.Member leader = sim.leader();
+                if (leader != null) {
+                    leader.kill();
+                }
+            }
+        }
+    }
+
+    @Test
+    void noCourseOfFaultsLosesOrDivides() {
+        List<String> faults = IntStream.range(0, SCHEDULES).parallel().boxed()
+                .flatMap(seed -> schedule(seed, false).stream().map(fault -> seed + ": " + fault)).toList();
+        assertEquals(List.of(), faults);
+    }
+
+    @Test
+    void disksThatOnlySayThatTheyForceAreFoundOut() {
+        assertTrue(IntStream.range(0, 60).parallel().anyMatch(seed -> !schedule(seed, true).isEmpty()));
+    }
+
+    @Test
+    void theSameSeedIsTheSameCourse() throws IOException {
+        for (int seed = 0; seed < 3; seed++) {
+            Simulation one = new Simulation(seed, 3, 0);
+            Simulation two = new Simulation(seed, 3, 0);
+            for (Simulation sim : List.of(one, two)) {
+                Simulation.Clients clients = sim.new Clients();
+                for (int i = 0; i < 50; i++) {
+                    sim.each(clients::put);
+                    sim.run(50_000);
+                }
+            }
+            assertEquals(one.history, two.history);
+            assertFalse(one.history.isEmpty());
+        }
+    }
+
+    private static Simulation led(int founding, int later) throws IOException {
+        Simulation sim = new Simulation(7, founding, later);
+        assertTrue(sim.until(() -> sim.leader() != null));
+        return sim;
+    }
+
+    private static Replica.Fate put(Simulation sim, Simulation.Member at, long expected, String text) {
+        AtomicReference<Replica.Fate> got = new AtomicReference<>();
+        AtomicReference<Ledger.Outcome> outcome = new AtomicReference<>();
+        at.replica.propose(new Change.Put(expected, Simulation.document(text)), (fate, result) -> {
+            outcome.set(result);
+            got.set(fate);
+        });
+        sim.until(() -> got.get() != null);
+        return got.get() == Replica.Fate.DONE && outcome.get().result() != Ledger.Result.DONE ? null : got.get();
+    }
+
+    @Test
+    void aLeaderAloneDecidesNothingAndKnowsItSoon() throws IOException {
+        Simulation sim = led(3, 0);
+        Simulation.Member old = sim.leader();
+        assertEquals(Replica.Fate.DONE, put(sim, old, 0, "{}"));
+        sim.each(m -> {
+            if (m != old) {
+                sim.cut[m.number][old.number] = true;
+                sim.cut[old.number][m.number] = true;
+            }
+        });
+        AtomicReference<Replica.Fate> lost = new AtomicReference<>();
+        AtomicReference<Replica.Fate> read = new AtomicReference<>();
+        old.replica.propose(new Change.Put(1, Simulation.document("{\"a\":1}")), (fate, outcome) -> lost.set(fate));
+        old.replica.upToDate((fate, ok) -> read.set(fate));
+        assertTrue(sim.until(() -> sim.members.stream().anyMatch(m -> m != old && m.replica.leads())));
+        sim.run(2_000_000);
+        assertFalse(old.replica.leads());
+        assertTrue(read.get() != Replica.Fate.DONE && lost.get() != Replica.Fate.DONE);
+        assertEquals(Replica.Fate.DONE, put(sim, sim.leader(), 1, "{\"b\":1}"));
+        sim.heal();
+        sim.run(3_000_000);
+        assertEquals(Replica.Fate.UNKNOWN, lost.get());
+        assertEquals(List.of(), sim.faults);
+        assertEquals(old.replica.ledger().document().digest(), sim.leader().replica.ledger().document().digest());
+    }
+
+    @Test
+    void ofTwoOperatorsWhoReplaceOneRevisionOneIsTurnedDown() throws IOException {
+        Simulation sim = led(3, 0);
+        AtomicReference<Ledger.Outcome> first = new AtomicReference<>();
+        AtomicReference<Ledger.Outcome> second = new AtomicReference<>();
+        sim.leader().replica.propose(new Change.Put(0, Simulation.document("{\"a\":1}")), (f, outcome) -> first.set(outcome));
+        sim.leader().replica.propose(new Change.Put(0, Simulation.document("{\"b\":1}")), (f, outcome) -> second.set(outcome));
+        sim.until(() -> first.get() != null && second.get() != null);
+        assertEquals(Ledger.Result.DONE, first.get().result());
+        assertEquals(Ledger.Result.CONFLICT, second.get().result());
+        assertEquals(1, second.get().revision());
+    }
+
+    @Test
+    void aDiskThatIsFullStepsDownAndTheOthersGoOn() throws IOException {
+        Simulation sim = led(3, 0);
+        Simulation.Member old = sim.leader();
+        old.disk.room = 30;
+        assertTrue(put(sim, old, 0, "{\"long\":\"" + "x".repeat(100) + "\"}") != Replica.Fate.DONE);
+        assertEquals("the disk fails", old.stopped);
+        assertTrue(sim.until(() -> sim.leader() != null));
+        assertEquals(Replica.Fate.DONE, put(sim, sim.leader(), sim.leader().replica.ledger().revision(), "{}"));
+        // With room again it comes back with what it had.
+        old.kill();
+        old.disk.room = Long.MAX_VALUE;
+        old.start();
+        sim.run(3_000_000);
+        assertEquals(sim.leader().replica.ledger().revision(), old.replica.ledger().revision());
+        assertEquals(List.of(), sim.faults);
+    }
+
+    private static void change(Simulation sim, boolean in, Simulation.Member who) {
+        Membership.Wish wish = new Membership.Wish(in, who.identity.name());
+        Set<lupinvalve.ledger.Identity> all = new TreeSet<>();
+        sim.each(m -> {
+            if (m.runs()) {
+                all.add(m.identity);
+            }
+        });
+        AtomicReference<Membership.Step> step = new AtomicReference<>();
+        assertTrue(sim.until(() -> {
+            if (sim.leader() != null) {
+                Replica leader = sim.leader().replica;
+                leader.report((fate, report) -> {
+                    if (fate == Replica.Fate.DONE && Replica.leads(report)) {
+                        Membership.View view = Replica.view(report, all, all);
+                        step.set(Membership.next(wish, view));
+                        leader.step(step.get(), report, (f, ok) -> { });
+                    }
+                });
+                sim.run(100_000);
+            }
+            return step.get() instanceof Membership.Step.Done;
+        }), String.valueOf(step.get()));
+    }
+
+    @Test
+    void membersComeByASnapshotWhileTheHistoryMovesOnAndGoOneAtATime() throws IOException {
+        Simulation sim = led(3, 2);
+        String filler = "x".repeat(40_000);
+        for (int i = 0; i < 40; i++) {
+            assertEquals(Replica.Fate.DONE, put(sim, sim.leader(), i, "{\"n\":\"" + i + filler + "\"}"));
+        }
+        assertTrue(sim.leader().disk.names().stream().anyMatch(name -> name.startsWith("snapshot")));
+        Simulation.Member newcomer = sim.members.get(3);
+        newcomer.start();
+        sim.members.get(4).start();
+        Simulation.Clients clients = sim.new Clients();
+        for (int i = 1; i < 100; i++) {
+            sim.at(i * 20_000, () -> sim.each(clients::put));
+        }
+        change(sim, true, newcomer);
+        change(sim, true, sim.members.get(4));
+        sim.run(3_000_000);
+        assertEquals(sim.leader().replica.ledger().revision(), newcomer.replica.ledger().revision());
+        // The leader is to go as well: it hands over first.
+        Simulation.Member old = sim.leader();
+        change(sim, false, old);
+        assertTrue(sim.leader() != old);
+        // One that is no member any more can't disturb the others, nor can its disk under its old name.
+        int term = sim.leader().replica.term();
+        old.kill();
+        old.start();
+        sim.run(10_000_000);
+        assertEquals(term, sim.leader().replica.term());
+        assertEquals(Replica.Fate.DONE, put(sim, sim.leader(), sim.leader().replica.ledger().revision(), "{}"));
+        assertEquals(List.of(), sim.faults);
+        assertNotNull(newcomer.replica.ledger().document());
+    }
+
+    @Test
+    void aMemberThatSleptWakesAsAFollowerAndNobodyBelievesIt() throws IOException {
+        Simulation sim = led(3, 0);
+        Simulation.Member old = sim.leader();
+        old.pausedUntil = sim.now + 10_000_000;
+        AtomicReference<Replica.Fate> late = new AtomicReference<>();
+        old.replica.propose(new Change.Put(0, Simulation.document("{\"old\":1}")), (fate, outcome) -> late.set(fate));
+        assertTrue(sim.until(() -> sim.members.stream().anyMatch(m -> m != old && m.replica.leads())));
+        Simulation.Member next = sim.members.stream().filter(m -> m != old && m.replica.leads()).findFirst().orElseThrow();
+        assertEquals(Replica.Fate.DONE, put(sim, next, 0, "{\"new\":1}"));
+        sim.run(15_000_000);
+        assertFalse(old.replica.leads());
+        assertTrue(late.get() != Replica.Fate.DONE);
+        assertEquals(next.replica.ledger().document().digest(), old.replica.ledger().document().digest());
+        assertEquals(List.of(), sim.faults);
+    }
+}
--- a/daemon/src/test/java/lupinvalve/stories/ExampleFolderTest.java
+++ b/daemon/src/test/java/lupinvalve/stories/ExampleFolderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -91,8 +92,12 @@
         OperatorConfig deployed = OperatorConfig.read(Files.readAllBytes(Path.of("deploy/operator.json")));
         assertNotNull(deployed.dnsSd());
         OperatorConfig example = OperatorConfig.read(Files.readAllBytes(Path.of("example/operator.json")));
-        OperatorConfig merged = example.with(deployed.shared());
-        assertEquals(deployed.dnsSd(), merged.dnsSd());
-        assertEquals(example.store(), merged.store());
+        assertEquals(1, example.store().members().size());
+        OperatorConfig accepted = example.accepted(Files.readAllBytes(Path.of("example/shared.json")));
+        assertEquals("portal", accepted.mysql().user());
+        assertEquals(example.mysql().listen(), accepted.mysql().listen());
+        assertEquals(example.store(), accepted.store());
+        // What only one member's file says is not acted on.
+        assertNull(example.accepted(null).mysql());
     }
 }
--- a/lab/src/main/java/lupinvalve/lab/Lab.java
+++ b/lab/src/main/java/lupinvalve/lab/Lab.java
@@ -16,9 +16,10 @@
         int run(PrintStream out) throws Exception;
     }
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "disk", handler = SubCommandHandler.class)
+    @Argument(required = true, metaVar = "COMMAND", usage = "disk or store-drill", handler = SubCommandHandler.class)
     @SubCommands({
-        @SubCommand(name = "disk", impl = Disk.class)
+        @SubCommand(name = "disk", impl = Disk.class),
+        @SubCommand(name = "store-drill", impl = StoreDrill.class)
     })
     private Command command;
 
@@ -35,6 +36,7 @@
         } catch (CmdLineException e) {
             err.println("lab: " + e.getMessage());
             err.println("usage: lab disk [--folder FOLDER] [--seconds N] [--batch N] [--json]");
+            err.println("       lab store-drill [--members N] [--seconds N] [--seed N] [--lying-disks] [--json]");
             return 2;
         }
         try {
