--- a/daemon/src/main/java/lupinvalve/ledger/Compaction.java
+++ b/daemon/src/main/java/lupinvalve/ledger/Compaction.java
@@ -8,10 +8,11 @@
     private Compaction() {}
 
     /**
-     * @param historyBytes of changes since the last snapshot
+     * @param historyBytes of changes on disk
+     * @param keptBytes of them that the last cut left, for members that are behind: another cut would leave them as well
      * @param stateBytes of the last snapshot
      */
-    public static boolean due(long historyBytes, long stateBytes) {
-        return historyBytes > Math.max(LEAST, stateBytes);
+    public static boolean due(long historyBytes, long keptBytes, long stateBytes) {
+        return historyBytes - keptBytes > Math.max(LEAST, stateBytes);
     }
 }
--- a/daemon/src/main/java/lupinvalve/ledger/Membership.java
+++ b/daemon/src/main/java/lupinvalve/ledger/Membership.java
@@ -19,14 +19,15 @@
     public record Wish(boolean in, String name) {}
 
     /**
-     * The group as its leader sees it.
+     * The group as its leader sees it, by the last change of members that was accepted.
      *
+     * @param changed which change of the history that was
      * @param strangers who is connected and of the cluster, but no member
      * @param inReach members heard of lately, the leader among them
      * @param matching up to which change each member has the history
      */
     public record View(Identity leader, Set<Identity> voting, Set<Identity> learning, Set<Identity> strangers,
-            Set<Identity> inReach, Map<Identity, Long> matching, long last) {}
+            Set<Identity> inReach, Map<Identity, Long> matching, long last, long changed) {}
 
     /** What to do next. */
     public sealed interface Step {
@@ -53,9 +54,9 @@
     private static Step add(String name, View view) {
         Identity stranger = named(name, view.strangers());
         Identity member = named(name, members(view));
-        if (member != null && stranger != null && !view.inReach().contains(member)) {
-            // It came back with another disk: what it was is gone for good.
-            return remove(member, view);
+        if (member != null && !view.inReach().contains(member)) {
+            // If it came back with another disk, what it was is gone for good; until it shows nothing is known of it.
+            return stranger != null ? remove(member, view) : new Step.Wait(name + " is a member and out of reach: start it");
         }
         if (member == null) {
             if (stranger == null) {
@@ -65,7 +66,10 @@
                     ? new Step.Refused("a group has " + Identity.MOST + " members at most") : new Step.Learn(stranger);
         }
         if (view.voting().contains(member)) {
-            return new Step.Done();
+            // Should the leader go now, those left must know who votes, or they could wait for one who is not there.
+            boolean heard = view.voting().stream().allMatch(one -> one.equals(view.leader())
+                    || !view.inReach().contains(one) || view.matching().getOrDefault(one, 0L) >= view.changed());
+            return heard ? new Step.Done() : new Step.Wait("not all have heard of it yet");
         }
         return view.matching().getOrDefault(member, 0L) + BEHIND_MOST < view.last()
                 ? new Step.Wait(name + " is still learning") : new Step.Promote(member);
--- a/daemon/src/main/java/lupinvalve/replication/Client.java
+++ b/daemon/src/main/java/lupinvalve/replication/Client.java
@@ -1,6 +1,8 @@
 package lupinvalve.replication;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayInputStream;
+import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -90,7 +92,22 @@
 
     private Said ask(String member, String address, String call, List<byte[]> arguments, long withinMillis) {
         boolean sent = false;
-        try (Socket plain = new Socket()) {
+        try (Session session = open(member, address, withinMillis)) {
+            sent = true;
+            session.send(call, arguments);
+            Messages.Answer answer = session.receive();
+            return new Said(answer.code(), answer.text());
+        } catch (IOException | IllegalArgumentException e) {
+            String why = member + " at " + address + ": " + (e.getMessage() == null ? e.getClass().getSimpleName()
+                    : e.getMessage());
+            return new Said(sent ? Messages.Code.UNKNOWN : Messages.Code.AGAIN, why);
+        }
+    }
+
+    /** A connection to one member, for several calls under way at once. */
+    public Session open(String member, String address, long withinMillis) throws IOException {
+        Socket plain = new Socket();
+        try {
             InetSocketAddress at = Addresses.parse(address);
             plain.connect(at, (int) Math.min(CONNECT_MILLIS, withinMillis));
             plain.setTcpNoDelay(true);
@@ -104,23 +121,45 @@
                 Tls.check(secure.getSession(), member);
                 socket = secure;
             }
-            DataInputStream in = new DataInputStream(socket.getInputStream());
+            return new Session(socket);
+        } catch (IOException | RuntimeException e) {
+            plain.close();
+            throw e;
+        }
+    }
+
+    /** Calls on one connection; answers come in any order. One thread may send while another receives. */
+    public final class Session implements Closeable {
+        private final Socket socket;
+        private final DataInputStream in;
+        private long last;
+
+        private Session(Socket socket) throws IOException {
+            this.socket = socket;
+            in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
             // The member speaks first.
             message(in);
             socket.getOutputStream().write(new Messages.Hello(cluster, name, "", null).write());
-            sent = true;
-            socket.getOutputStream().write(new Messages.Call(1, call, arguments).write());
+        }
+
+        /** Sends a call; gives its number. */
+        public long send(String call, List<byte[]> arguments) throws IOException {
+            socket.getOutputStream().write(new Messages.Call(++last, call, arguments).write());
+            return last;
+        }
+
+        public Messages.Answer receive() throws IOException {
             while (true) {
                 byte[] message = message(in);
                 if (Messages.kind(message) == Messages.Kind.ANSWER) {
-                    Messages.Answer answer = Messages.Answer.read(Messages.body(message));
-                    return new Said(answer.code(), answer.text());
+                    return Messages.Answer.read(Messages.body(message));
                 }
             }
-        } catch (IOException | IllegalArgumentException e) {
-            String why = member + " at " + address + ": " + (e.getMessage() == null ? e.getClass().getSimpleName()
-                    : e.getMessage());
-            return new Said(sent ? Messages.Code.UNKNOWN : Messages.Code.AGAIN, why);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
         }
     }
 
--- a/daemon/src/main/java/lupinvalve/replication/Group.java
+++ b/daemon/src/main/java/lupinvalve/replication/Group.java
@@ -16,6 +16,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import lupinvalve.config.OperatorConfig;
@@ -37,6 +38,8 @@
  * the pooler beside it is told. It runs on a thread of its own, since a force of the disk takes as long as many requests.
  */
 public final class Group {
+    /** Answers that wait for a majority at once; those beyond go out when their bound is over. */
+    private static final int HELD_MOST = 10_000;
     private static final long TICK = 100_000, FORWARDED = 3_000_000, MEMBERS_WITHIN = 20_000_000, STEP = 50_000;
 
     /** The pooler's side. Called on the group's thread. */
@@ -67,6 +70,8 @@
     private final Outbox outbox = new Outbox();
     private final TreeMap<Long, List<Runnable>> held = new TreeMap<>();
     private final Map<String, String> addresses = new HashMap<>();
+    private final AtomicBoolean ending = new AtomicBoolean();
+    private int heldCount;
     private Pooler pooler;
     private Replica replica;
     private String ended;
@@ -152,6 +157,9 @@
 
     /** Ends at once; what was asked and not answered may have happened. From any thread but the group's. */
     public void stop() {
+        if (ending.getAndSet(true)) {
+            return;
+        }
         CountDownLatch done = new CountDownLatch(1);
         loop.post(() -> {
             stopped = true;
@@ -188,6 +196,7 @@
         @Override
         public void lost(Identity who) {
             founding.lost(who.name());
+            addresses.remove(who.name());
         }
 
         @Override
@@ -357,7 +366,8 @@
     public void committed(String session, long position, Runnable then) {
         loop.post(() -> {
             long bundle = outbox.add(session, position, loop.now());
-            if (then != null) {
+            if (then != null && heldCount < HELD_MOST) {
+                heldCount++;
                 held.computeIfAbsent(bundle, b -> new ArrayList<>()).add(then);
             }
             pump();
@@ -386,7 +396,10 @@
         propose(bundle, accepted -> {
             long upTo = outbox.answered(accepted, loop.now());
             Map<Long, List<Runnable>> done = held.headMap(upTo, true);
-            done.values().forEach(all -> all.forEach(Runnable::run));
+            done.values().forEach(all -> {
+                heldCount -= all.size();
+                all.forEach(Runnable::run);
+            });
             done.clear();
             pump();
         });
--- a/daemon/src/main/java/lupinvalve/replication/Replica.java
+++ b/daemon/src/main/java/lupinvalve/replication/Replica.java
@@ -95,6 +95,7 @@
     private final Identity self;
     private final RaftNode node;
     private boolean snapshotting, ended;
+    private long keptBytes;
 
     /** @param founders of the group */
     Replica(Schedule schedule, SegmentedLog log, Set<Identity> founders, Sending sending, Random random,
@@ -200,9 +201,13 @@
                 return outcome;
             }
             watcher.applied(index, change, outcome);
-            if (!snapshotting && Compaction.due(log.historyBytes(), log.snapshotBytes())) {
+            keptBytes = Math.min(keptBytes, log.historyBytes());
+            if (!snapshotting && Compaction.due(log.historyBytes(), keptBytes, log.snapshotBytes())) {
                 snapshotting = true;
-                schedule.post(() -> node.takeSnapshot().whenComplete((report, failure) -> snapshotting = false));
+                schedule.post(() -> node.takeSnapshot().whenComplete((report, failure) -> {
+                    snapshotting = false;
+                    keptBytes = log.historyBytes();
+                }));
             }
             return outcome;
         }
@@ -335,8 +340,8 @@
 
     /** The group as this member sees it as its leader; whether it is must be asked apart. */
     static Membership.View view(RaftNodeReport report, Set<Identity> strangers, Set<Identity> inReach) {
-        Set<Identity> voting = Endpoint.identities(report.getEffectiveMembers().getVotingMembers());
-        Set<Identity> learning = Endpoint.identities(report.getEffectiveMembers().getMembers());
+        Set<Identity> voting = Endpoint.identities(report.getCommittedMembers().getVotingMembers());
+        Set<Identity> learning = Endpoint.identities(report.getCommittedMembers().getMembers());
         learning.removeAll(voting);
         Identity self = Endpoint.of(report.getEndpoint());
         Set<Identity> reached = new TreeSet<>(inReach);
@@ -344,7 +349,7 @@
         Map<Identity, Long> matching = new HashMap<>();
         report.getLog().getFollowerMatchIndices().forEach((one, index) -> matching.put(Endpoint.of(one), index));
         return new Membership.View(self, voting, learning, strangers, reached, matching,
-                report.getLog().getLastLogOrSnapshotIndex());
+                report.getLog().getLastLogOrSnapshotIndex(), report.getCommittedMembers().getLogIndex());
     }
 
     /** Takes a step that membership decided on. */
--- a/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
+++ b/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import lupinvalve.ledger.Cbor;
 import lupinvalve.ledger.Founding;
 import lupinvalve.ledger.Identity;
@@ -44,6 +45,9 @@
     private long number, highest, size, sinceSnapshot, committed;
     private Disk.Out segment, snapshot;
     private long snapshotIndex;
+    /** Which pieces of the snapshot that is being written are there, and whether those are all. */
+    private final Set<Integer> pieces = new TreeSet<>();
+    private boolean snapshotWhole;
     private ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean snapshotUnforced;
     private IOException failure;
@@ -314,6 +318,7 @@
     }
 
     private int records;
+    private boolean committedUnsaid;
 
     private interface Record {
         void write(Cbor.Out out);
@@ -376,10 +381,9 @@
 
     /** A majority has accepted all up to here; on disk with the next flush, so that a restart knows it by itself. */
     void accepted(long index) throws IOException {
-        if (index > committed) {
-            committed = index;
-            add(out -> out.number(COMMITTED).number(index));
-        }
+        check();
+        committedUnsaid |= index > committed;
+        committed = Math.max(committed, index);
     }
 
     @Override
@@ -411,12 +415,15 @@
                 }
                 snapshotIndex = chunk.getIndex();
                 snapshots.put(snapshotIndex, 0L);
+                pieces.clear();
                 snapshot = disk.create(name(SNAPSHOT, snapshotIndex));
             }
             byte[] frame = Frames.frame(Models.chunk(new Cbor.Out(), chunk).done());
             snapshot.write(frame);
             snapshots.merge(snapshotIndex, (long) frame.length, Long::sum);
             snapshotUnforced = true;
+            pieces.add(chunk.getSnapshotChunkIndex());
+            snapshotWhole = pieces.size() == chunk.getSnapshotChunkCount();
         } catch (IOException e) {
             throw failed(e);
         }
@@ -448,6 +455,9 @@
                 write();
                 // What the snapshot makes superfluous is to lie in segments that can go whole.
                 roll();
+                if (snapshotWhole) {
+                    dropSnapshotsBefore(snapshotIndex);
+                }
             } else {
                 write();
                 if (size > SEGMENT_MOST) {
@@ -459,7 +469,18 @@
         }
     }
 
+    /** The library asks for the deletion of broken-off ones only. */
+    private void dropSnapshotsBefore(long index) throws IOException {
+        while (snapshots.firstKey() < index) {
+            disk.delete(name(SNAPSHOT, snapshots.pollFirstEntry().getKey()));
+        }
+    }
+
     private void write() throws IOException {
+        if (committedUnsaid) {
+            committedUnsaid = false;
+            add(out -> out.number(COMMITTED).number(committed));
+        }
         if (records == 0) {
             return;
         }
@@ -495,9 +516,7 @@
         if (term != null) {
             add(this::term);
         }
-        if (committed > 0) {
-            add(out -> out.number(COMMITTED).number(committed));
-        }
+        committedUnsaid = committed > 0;
         write();
     }
 
--- a/daemon/src/test/java/lupinvalve/cli/GroupTest.java
+++ b/daemon/src/test/java/lupinvalve/cli/GroupTest.java
@@ -185,13 +185,16 @@
 
         groups.remove("b").stop();
         assertTrue(store(null, "verify", folder.resolve("b").toString()).out().contains("revision: 1"));
-        Files.move(folder.resolve("b"), folder.resolve("b.lost"));
+        Files.move(folder.resolve("b"), folder.resolve("b-lost"));
         start("b", tls("own/authority.pem", "own", "b"));
         Said added = store(a, "add", "b", "--json");
         assertEquals(0, added.code(), added.err());
         assertEquals(3, added.out().split("\"votes\"").length - 1);
         groups.remove("a").stop();
-        assertEquals(0, store(c, "put", document, "--revision", "1").code(), "the new one counts");
+        // A put that is under way as a leader goes may have happened; a read waits for the next one.
+        Said next = store(c, "get", "--seconds", "30");
+        assertTrue(next.out().contains("revision: 1"), "the new one counts: " + next);
+        assertEquals(0, store(c, "put", document, "--revision", "1").code());
         Said again = store(c, "remove", "c");
         assertTrue(again.code() == 1 && again.err().contains("no majority"), again.err());
         assertTrue(store(c, "status").out().contains("phase: founded"));
@@ -248,6 +251,28 @@
         assertTrue(store(a, "status").out().contains("acting: serving with revision 1"));
     }
 
+    @Test
+    void whatTheEarlierStoreLeftIsTakenOverOnce() throws Exception {
+        places();
+        addresses.keySet().retainAll(List.of("a"));
+        Path left = folder.resolve("a");
+        Files.createDirectories(left);
+        String content = java.util.Base64.getEncoder().encodeToString("{\"mysql\":{\"user\":\"old\"}}".getBytes());
+        String text = "{\"key\":\"document/operator\",\"revision\":7,\"by\":\"p\",\"content\":\"" + content + "\"}\n"
+                + "{\"key\":\"session/s1\",\"commit\":4000000000000000}\n";
+        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
+        crc.update(text.getBytes());
+        Files.writeString(left.resolve("store.jsonl"), text + "{\"crc\":" + crc.getValue() + "}\n");
+        start("a", null);
+        World.await("taken over", () -> Files.exists(left.resolve("store.jsonl.imported")) && acting.containsKey("a"));
+        assertEquals("{\"mysql\":{\"user\":\"old\"}}", new String(acting.get("a").content()));
+        World.await("tokens", () -> tokens.getOrDefault("a", Map.of()).containsKey("s1"));
+        groups.remove("a").stop();
+        start("a", null);
+        World.await("led", () -> groups.get("a").leads());
+        assertTrue(store(file("a", null), "status").out().contains("revision: 1"));
+    }
+
     @Test
     void filesAreForTheirOwnerAloneAndAFolderIsForOneProcess() throws Exception {
         places();
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/cli/OffOnThePlatformTest.java
@@ -0,0 +1,33 @@
+package lupinvalve.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What an operator must turn on costs the platform nothing: a pooler without it loads no class of it. */
+class OffOnThePlatformTest {
+    @TempDir
+    private Path folder;
+
+    @Test
+    void noClassOfTheGroupIsLoadedWhereNoneIsConfigured() throws Exception {
+        Path loaded = folder.resolve("loaded");
+        Process program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                "-Xlog:class+load=info:file=" + loaded, "lupinvalve.cli.Main", "rehearse", "--config", "example/config.json")
+                .redirectErrorStream(true).redirectOutput(folder.resolve("out").toFile()).start();
+        assertTrue(program.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(0, program.exitValue(), Files.readString(folder.resolve("out")));
+        List<String> lines = Files.readAllLines(loaded);
+        assertTrue(lines.stream().anyMatch(line -> line.contains("lupinvalve.core.Pooler ")));
+        assertEquals(List.of(), lines.stream().filter(line -> line.contains("lupinvalve.replication")
+                || line.contains("lupinvalve.ledger") || line.contains("io.microraft") || line.contains("dataformat.cbor")
+                || line.contains("mina.filter.ssl")).toList());
+    }
+}
--- a/daemon/src/test/java/lupinvalve/ledger/LedgerTest.java
+++ b/daemon/src/test/java/lupinvalve/ledger/LedgerTest.java
@@ -153,9 +153,10 @@
 
     @Test
     void historyIsCutOnceItOutweighsTheState() {
-        assertEquals(false, Compaction.due(Compaction.LEAST, 0));
-        assertEquals(true, Compaction.due(Compaction.LEAST + 1, 0));
-        assertEquals(false, Compaction.due(3_000_000, 3_000_000));
+        assertEquals(false, Compaction.due(Compaction.LEAST, 0, 0));
+        assertEquals(true, Compaction.due(Compaction.LEAST + 1, 0, 0));
+        assertEquals(false, Compaction.due(3_000_000, 0, 3_000_000));
+        assertEquals(false, Compaction.due(4_000_000, 2_000_000, 3_000_000));
     }
 
     @Test
--- a/daemon/src/test/java/lupinvalve/replication/SimulationTest.java
+++ b/daemon/src/test/java/lupinvalve/replication/SimulationTest.java
@@ -213,7 +213,7 @@
         assertEquals(List.of(), sim.faults);
     }
 
-    private static void change(Simulation sim, boolean in, Simulation.Member who) {
+    static void change(Simulation sim, boolean in, Simulation.Member who) {
         Membership.Wish wish = new Membership.Wish(in, who.identity.name());
         Set<lupinvalve.ledger.Identity> all = new TreeSet<>();
         sim.each(m -> {
@@ -245,7 +245,7 @@
         for (int i = 0; i < 40; i++) {
             assertEquals(Replica.Fate.DONE, put(sim, sim.leader(), i, "{\"n\":\"" + i + filler + "\"}"));
         }
-        assertTrue(sim.leader().disk.names().stream().anyMatch(name -> name.startsWith("snapshot")));
+        assertEquals(1, sim.leader().disk.names().stream().filter(name -> name.startsWith("snapshot")).count());
         Simulation.Member newcomer = sim.members.get(3);
         newcomer.start();
         sim.members.get(4).start();
--- a/daemon/src/test/java/lupinvalve/stories/World.java
+++ b/daemon/src/test/java/lupinvalve/stories/World.java
@@ -74,7 +74,7 @@
                 OperatorConfig.NONE, shared);
     }
 
-    private static Daemon daemon(String config, OperatorConfig operator, Path shared) throws IOException {
+    static Daemon daemon(String config, OperatorConfig operator, Path shared) throws IOException {
         Path file = Files.createTempFile("lupinvalve", ".json");
         Files.writeString(file, shared == null ? config
                 : config.replaceFirst("\\{", "{\"operator\": \"127.0.0.1:00\","));
