Start a member's node anew where it goes on naming a leader that is gone

`store status` in the stall: m0 (last change 33, term 2) "leader":"m1", which was dead, "cut_off":false, its thread answering; m2 (last change 7) was rightly refused votes. Ruled out: a thread that hangs or has died (jstack), lost connections. The library gives a leader up only where no pre-vote is under way; likely one stayed noted.

Change: Group.wakeUp. A follower whose leader is out of reach for 2 s, far past the library's 0.6 s, leaves its node and starts the next one from its disk, as a restart does.

No test of ours shows it yet.

--- a/daemon/src/main/java/lupinvalve/replication/Group.java
+++ b/daemon/src/main/java/lupinvalve/replication/Group.java
@@ -40,6 +40,8 @@
 public final class Group {
     /** Answers that wait for a majority at once; those beyond go out when their bound is over. */
     private static final int HELD_MOST = 10_000;
+    /** Far past the library's own patience of 0.6 s, and past an election. */
+    private static final long LEADER_GONE = 2_000_000;
     private static final long TICK = 100_000, FORWARDED = 3_000_000, MEMBERS_WITHIN = 20_000_000, STEP = 50_000;
 
     /** The pooler's side. Called on the group's thread. */
@@ -62,7 +64,8 @@
     private final Schedule schedule = Schedule.of(loop);
     private final Tls tls;
     private final Net net;
-    private final SegmentedLog log;
+    private final Disk disk;
+    private SegmentedLog log;
     private final Ledger warm;
     private final Adoption adoption;
     private final Founding founding;
@@ -78,6 +81,7 @@
     private Identity leader;
     private String waitsFor = "";
     private boolean outboxTimer, stopped;
+    private long leaderSeenAt;
     private OldStore old;
     private volatile boolean leading;
 
@@ -97,7 +101,7 @@
             }
         }
         net = new Net(loop, false, tls);
-        Disk disk = new FolderDisk(config.folder(), true);
+        disk = new FolderDisk(config.folder(), true);
         try {
             log = SegmentedLog.open(disk, config.cluster(), config.name(), SegmentedLog.diskName());
             warm = Replica.warm(log);
@@ -168,7 +172,7 @@
                 replica.end("stopped");
             }
             schedule.post(() -> {
-                log.close();
+                log.close(true);
                 done.countDown();
             });
         });
@@ -239,6 +243,10 @@
     private final class Watching implements Replica.Watcher {
         @Override
         public void applied(long index, Change change, Ledger.Outcome outcome) {
+            if (replica == null) {
+                // A node that has been left; the next one comes to it as well.
+                return;
+            }
             if (change instanceof Change.Put && outcome.result() == Ledger.Result.DONE) {
                 adopt(replica.ledger().document());
             } else if (change instanceof Change.Hold || change instanceof Change.Release) {
@@ -252,6 +260,9 @@
 
         @Override
         public void restored() {
+            if (replica == null) {
+                return;
+            }
             Ledger ledger = replica.ledger();
             if (ledger.document() != null) {
                 adopt(ledger.document());
@@ -308,6 +319,7 @@
             Log.info("store: %s leads, term %s", now, replica.term());
         }
         leader = now;
+        wakeUp();
         leading = replica != null && replica.leads();
         String line = adoption.touch(leader != null, loop.now());
         if (line != null) {
@@ -327,6 +339,32 @@
         loop.after(TICK, this::tick);
     }
 
+    /**
+     * Guards against a fault of the library (0.7): a follower may go on taking a leader for alive that is gone. Its node
+     * then begins anew from its disk, as after a restart.
+     */
+    private void wakeUp() {
+        if (leader == null || replica.leads() || peers.reaches(leader) || ended != null) {
+            leaderSeenAt = loop.now();
+        } else if (loop.now() - leaderSeenAt > LEADER_GONE) {
+            Log.warn("store: %s has been out of reach for long and is still taken for the leader: the node starts anew", leader);
+            leaderSeenAt = loop.now();
+            Replica old = replica;
+            replica = null;
+            leader = null;
+            old.leave();
+            schedule.post(() -> schedule.post(() -> {
+                log.close(false);
+                try {
+                    log = SegmentedLog.open(disk, config.cluster(), config.name(), "");
+                    settle();
+                } catch (IOException e) {
+                    end(e.getMessage());
+                }
+            }));
+        }
+    }
+
     /** What the earlier store left here, where the group has no configuration yet. */
     private void takeOver() {
         OldStore left = old;
--- a/daemon/src/main/java/lupinvalve/replication/Replica.java
+++ b/daemon/src/main/java/lupinvalve/replication/Replica.java
@@ -144,6 +144,13 @@
         watcher.ended(why);
     }
 
+    /** The same, without a word: another node goes on with the folder. */
+    void leave() {
+        ended = true;
+        node.terminate();
+        schedule.post(pace::stop);
+    }
+
     boolean ended() {
         return ended;
     }
--- a/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
+++ b/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
@@ -529,7 +529,8 @@
         return snapshots.isEmpty() ? 0 : snapshots.lastEntry().getValue();
     }
 
-    void close() {
+    /** Lets go of the files, and of the folder as well where nobody is to go on with it. */
+    void close(boolean folder) {
         try {
             if (failure == null) {
                 write();
@@ -540,7 +541,9 @@
             if (snapshot != null) {
                 snapshot.close();
             }
-            disk.close();
+            if (folder) {
+                disk.close();
+            }
         } catch (IOException e) {
             Log.warn("store: %s", e.getMessage());
         }
