--- a/daemon/src/main/java/lupinvalve/ledger/Ledger.java
+++ b/daemon/src/main/java/lupinvalve/ledger/Ledger.java
@@ -135,11 +135,6 @@
         return listing;
     }
 
-    /** Position of the session's last commit that a majority knows, or 0. */
-    public long lastCommit(String session) {
-        return sessions.last(session);
-    }
-
     public int sessionCount() {
         return sessions.size();
     }
--- a/daemon/src/main/java/lupinvalve/replication/Replica.java
+++ b/daemon/src/main/java/lupinvalve/replication/Replica.java
@@ -6,7 +6,6 @@
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
-import io.microraft.RaftNodeStatus;
 import io.microraft.RaftRole;
 import io.microraft.exception.CannotReplicateException;
 import io.microraft.exception.IndeterminateStateException;
@@ -31,6 +30,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import lupinvalve.ledger.Change;
 import lupinvalve.ledger.Compaction;
 import lupinvalve.ledger.Encoding;
@@ -137,10 +137,7 @@
         if (ended) {
             return;
         }
-        ended = true;
-        node.terminate();
-        // The library's own last work is to fail what was asked; it must not reach a disk that is closed.
-        schedule.post(pace::stop);
+        leave();
         watcher.ended(why);
     }
 
@@ -148,21 +145,14 @@
     void leave() {
         ended = true;
         node.terminate();
+        // The library's own last work is to fail what was asked; it must not reach a disk that is closed.
         schedule.post(pace::stop);
     }
 
-    boolean ended() {
-        return ended;
-    }
-
     Ledger ledger() {
         return ledger;
     }
 
-    Identity self() {
-        return self;
-    }
-
     private final class Carrier implements Transport {
         @Override
         public void send(RaftEndpoint target, RaftMessage message) {
@@ -295,8 +285,12 @@
                 || cause instanceof MismatchingRaftGroupMembersCommitIndexException ? Fate.REFUSED : Fate.UNKNOWN;
     }
 
-    private <T> void answer(CompletableFuture<Ordered<T>> asked, Then<T> then) {
-        asked.whenComplete((ordered, failure) -> schedule.post(() -> {
+    private <T> void answer(Supplier<CompletableFuture<Ordered<T>>> asked, Then<T> then) {
+        if (ended) {
+            then.done(Fate.ELSEWHERE, null);
+            return;
+        }
+        asked.get().whenComplete((ordered, failure) -> schedule.post(() -> {
             if (failure != null) {
                 Fate fate = fate(failure);
                 if (fate == Fate.REFUSED) {
@@ -313,36 +307,20 @@
     }
 
     void propose(Change change, Then<Ledger.Outcome> then) {
-        if (ended) {
-            then.done(Fate.ELSEWHERE, null);
-            return;
-        }
-        answer(node.replicate(Encoding.write(change)), then);
+        answer(() -> node.replicate(Encoding.write(change)), then);
     }
 
     /** Answers once the ledger here holds all that was accepted anywhere before the question. */
     void upToDate(Then<Object> then) {
-        if (ended) {
-            then.done(Fate.ELSEWHERE, null);
-            return;
-        }
-        answer(node.query(new Question(), QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), then);
+        answer(() -> node.query(new Question(), QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()), then);
     }
 
     void snapshot(Then<RaftNodeReport> then) {
-        if (ended) {
-            then.done(Fate.ELSEWHERE, null);
-            return;
-        }
-        answer(node.takeSnapshot(), then);
+        answer(node::takeSnapshot, then);
     }
 
     void report(Then<RaftNodeReport> then) {
-        if (ended) {
-            then.done(Fate.ELSEWHERE, null);
-            return;
-        }
-        answer(node.getReport(), then);
+        answer(node::getReport, then);
     }
 
     /** The group as this member sees it as its leader; whether it is must be asked apart. */
@@ -368,20 +346,15 @@
         } else if (step instanceof Membership.Step.Remove remove) {
             change(remove.who(), MembershipChangeMode.REMOVE_MEMBER, report, then);
         } else if (step instanceof Membership.Step.HandOver over) {
-            answer(node.transferLeadership(new Endpoint(over.to())), then);
+            answer(() -> node.transferLeadership(new Endpoint(over.to())), then);
         }
     }
 
     private void change(Identity who, MembershipChangeMode mode, RaftNodeReport report, Then<Object> then) {
-        answer(node.changeMembership(new Endpoint(who), mode, report.getCommittedMembers().getLogIndex()),
+        answer(() -> node.changeMembership(new Endpoint(who), mode, report.getCommittedMembers().getLogIndex()),
                 (fate, members) -> then.done(fate, members));
     }
 
-    /** Whether this member has a say in the group now. */
-    boolean active() {
-        return !ended && node.getStatus() != RaftNodeStatus.TERMINATED;
-    }
-
     static boolean leads(RaftNodeReport report) {
         return report.getRole() == RaftRole.LEADER;
     }
--- a/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
+++ b/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
@@ -168,17 +168,20 @@
         IOException fault = null;
         for (String name : files) {
             long index = number(name, SNAPSHOT);
-            if (restored == null) {
-                try {
-                    restored = snapshot(name);
-                } catch (IOException e) {
-                    fault = e;
+            if (restored != null) {
+                if (mends) {
+                    disk.delete(name);
                 }
+                continue;
+            }
+            byte[] file = disk.read(name);
+            try {
+                restored = snapshot(name, file);
+            } catch (IOException e) {
+                fault = e;
             }
             if (restored != null && restored.getIndex() == index) {
-                snapshots.put(index, (long) disk.read(name).length);
-            } else if (mends && restored != null) {
-                disk.delete(name);
+                snapshots.put(index, (long) file.length);
             }
         }
         long base = restored == null ? 0 : restored.getIndex();
@@ -236,9 +239,9 @@
     }
 
     /** A snapshot with all its pieces, or null where its writing or its transfer was broken off. */
-    private SnapshotEntry snapshot(String name) throws IOException {
+    private SnapshotEntry snapshot(String name, byte[] file) throws IOException {
         List<byte[]> contents = new ArrayList<>();
-        Frames.read(name, disk.read(name), true, contents);
+        Frames.read(name, file, true, contents);
         TreeMap<Integer, SnapshotChunk> chunks = new TreeMap<>();
         for (byte[] content : contents) {
             SnapshotChunk chunk = Models.chunk(new Cbor.In(content));
--- a/lab/src/main/java/lupinvalve/lab/StoreBench.java
+++ b/lab/src/main/java/lupinvalve/lab/StoreBench.java
@@ -2,12 +2,9 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -76,14 +73,7 @@
         folder = Files.createTempDirectory("store-bench");
         List<Group> groups = new ArrayList<>();
         try {
-            List<ServerSocket> held = new ArrayList<>();
-            for (String name : List.of("a", "b", "c")) {
-                held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-                places.put(name, "127.0.0.1:" + held.get(held.size() - 1).getLocalPort());
-            }
-            for (ServerSocket socket : held) {
-                socket.close();
-            }
+            places.putAll(Scratch.places(List.of("a", "b", "c")));
             for (String name : places.keySet()) {
                 Group group = new Group(config(name));
                 groups.add(group);
@@ -127,11 +117,7 @@
             return 0;
         } finally {
             groups.forEach(Group::stop);
-            try (Stream<Path> all = Files.walk(folder)) {
-                for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.deleteIfExists(path);
-                }
-            }
+            Scratch.delete(folder);
         }
     }
 
--- a/lab/src/main/java/lupinvalve/lab/StoreCost.java
+++ b/lab/src/main/java/lupinvalve/lab/StoreCost.java
@@ -4,19 +4,14 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import lupinvalve.Routing;
 import lupinvalve.cli.Daemon;
 import lupinvalve.config.NodeConfig;
@@ -90,12 +85,7 @@
         folder = Files.createTempDirectory("store-cost");
         List<Daemon> daemons = new ArrayList<>();
         NodeConfig from = NodeConfig.read(config, null);
-        Map<String, String> places = new TreeMap<>();
-        for (String name : List.of("a", "b", "c")) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-                places.put(name, "127.0.0.1:" + socket.getLocalPort());
-            }
-        }
+        Map<String, String> places = Scratch.places(List.of("a", "b", "c"));
         try (StandIns standIns = new StandIns()) {
             daemons.add(daemon(from, standIns, null));
             for (String name : places.keySet()) {
@@ -122,11 +112,7 @@
             return 0;
         } finally {
             daemons.forEach(Daemon::stop);
-            try (Stream<Path> all = Files.walk(folder)) {
-                for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.deleteIfExists(path);
-                }
-            }
+            Scratch.delete(folder);
         }
     }
 }
--- a/lab/src/main/java/lupinvalve/lab/StoreDrill.java
+++ b/lab/src/main/java/lupinvalve/lab/StoreDrill.java
@@ -8,8 +8,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -236,34 +234,26 @@
             if (keep) {
                 out.println("kept: " + folder);
             } else {
-                try (Stream<Path> all = Files.walk(folder)) {
-                    for (Path path : all.sorted(java.util.Comparator.reverseOrder()).toList()) {
-                        Files.deleteIfExists(path);
-                    }
-                }
+                Scratch.delete(folder);
             }
         }
     }
 
     private void prepare() throws IOException {
-        List<ServerSocket> held = new ArrayList<>();
-        for (int i = 0; i < 2 * count; i++) {
-            held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-        }
-        for (int i = 0; i < count; i++) {
-            members.add(new Member("m" + i, held.get(2 * i).getLocalPort(), held.get(2 * i + 1).getLocalPort()));
-            direct.put("m" + i, "127.0.0.1:" + held.get(2 * i).getLocalPort());
-        }
-        for (Member from : members) {
-            for (Member to : members) {
-                if (from != to) {
-                    from.proxies.put(to.name, new FaultProxy(to.port));
+        // Held until the proxies have theirs.
+        try (Scratch.Ports ports = new Scratch.Ports(2 * count)) {
+            for (int i = 0; i < count; i++) {
+                members.add(new Member("m" + i, ports.get(2 * i), ports.get(2 * i + 1)));
+                direct.put("m" + i, "127.0.0.1:" + ports.get(2 * i));
+            }
+            for (Member from : members) {
+                for (Member to : members) {
+                    if (from != to) {
+                        from.proxies.put(to.name, new FaultProxy(to.port));
+                    }
                 }
+                from.files();
             }
-            from.files();
-        }
-        for (ServerSocket socket : held) {
-            socket.close();
         }
     }
 
