Let bounds follow latency over aim within a turn, and answers that could only be late not begin

Change: a bound shrinks by the ratio of wanted to met latency within one turn of what is out, also on time-outs; a quarter of the aim, start at 16; a held request ends once an answer could only be late; held writes go newest first too; reports wait for the replica that is kept for them, and reads of any age go there first; advice in time everywhere.

--- a/daemon/src/main/java/lupinvalve/Router.java
+++ b/daemon/src/main/java/lupinvalve/Router.java
@@ -35,8 +35,8 @@
     /** Kept back from a deadline so that the final answer is out in time; share for what was never sent. */
     private static final long MARGIN = 15_000;
     private static final double UNTRIED = 0.49;
-    /** Part of the requests that clients can have open which may be held. */
-    private static final double HELD_PART = 0.3;
+    /** Part of the requests clients can have open which may be held; of an aim kept for an answer at most. */
+    private static final double HELD_PART = 0.3, HELD_LEAST = 0.7;
     /** Pace of shared probes for held reads, and of probes and write trials in a change of primary. */
     private static final long READ_PROBE_PACE = 60_000, CHANGE_PROBE_PACE = 150_000, SCOUT_PACE = 40_000;
     /** A replica of which nothing was heard for this long is probed, as far as the probe budget goes. */
@@ -62,9 +62,12 @@
     private static final double ADVICE = 0.18;
     /** Errors after which a request is tried no more. */
     private static final int ERRORS_READ = 2, ERRORS_WRITE = 2;
-    /** Start and least bound on all routers' attempts out at a member, greatest on own, latency aimed at. */
-    private static final double LIMIT_START = 28, LIMIT_LEAST = 6, LIMIT_MOST = 400, LIMIT_TELLS = 2;
-    private static final double PRESSURE = 0.5, PRESSURE_SHED = 0.42, PRESSURE_FULL = 1.5, WRITE_EASE = 2;
+    /**
+     * Start and least bound on all routers' attempts out at a member, greatest on own. Then the part of its
+     * aim that an answer may take in the mean: works vary about as their mean, so of a quarter e^-4 are late.
+     */
+    private static final double LIMIT_START = 16, LIMIT_LEAST = 6, LIMIT_MOST = 400, LIMIT_TELLS = 2;
+    private static final double PRESSURE = 0.25, PRESSURE_SHED = 0.42, PRESSURE_FULL = 1.5, WRITE_EASE = 2;
     /** How long evidence of load counts, in microseconds, and how many answers outweigh what is pooled. */
     private static final double MEMORY = 3e6, LEAN = 2, NEWEST = 12, LOT_STEEP = 3, REPEAT_LOT = 0.9;
     /** Share of the primary's bound that reads may fill; the rest is for writes. */
@@ -75,7 +78,7 @@
     private static final double FAR = 1.3;
     /** Latency over work of a member not yet known. */
     private static final double ORDINARY = 2;
-    /** What a member kept for long reads costs for fresh ones. */
+    /** What a member kept for long reads costs for fresh ones; reads of any age rather go there. */
     private static final double KEPT_FOR_LONG = 3;
     /** A class is long where its aim is this many times the shortest. */
     private static final double LONG = 4;
@@ -451,8 +454,14 @@
         n.slow.add(now, elapsed / work[r.cls()]);
         n.group.slow.add(now, elapsed / work[r.cls()]);
         press(n, (double) elapsed / r.kind.aimMicros());
-        if (pressure(n) > PRESSURE) {
-            n.limit = Math.max(leastLimit, n.limit * 0.97);
+        bound(n);
+    }
+
+    /** Latency grows with what is out: the bound follows their ratio within one turn of its attempts. */
+    private void bound(Node n) {
+        double p = pressure(n);
+        if (p > PRESSURE) {
+            n.limit = Math.max(leastLimit, n.limit * Math.pow(PRESSURE / p, 1 / Math.max(1, n.limit)));
         } else if (n.out.size() + 1 > n.limit * 0.6) {
             n.limit = Math.min(LIMIT_MOST, n.limit + 0.5);
         }
@@ -553,8 +562,8 @@
 
     private long advice(Routing.RequestClass kind) {
         long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterMicros() : 0;
-        // Where the lot refuses, another try may do better: early enough to be in time, and not as one wave.
-        double again = sparse ? ADVICE * (0.5 + random.nextDouble()) * kind.aimMicros() : Long.MAX_VALUE;
+        // Another try may do better than one refused: early enough to be in time, and not as one wave.
+        double again = ADVICE * (0.5 + random.nextDouble()) * kind.aimMicros();
         return Math.min(kind.access() == Routing.Access.WRITE ? 50_000 : (long) again, most);
     }
 
@@ -568,7 +577,8 @@
         // Guards against clients kept waiting for nothing: one told early has time to come back.
         double last = r.reached ? r.expires - Math.max(MARGIN, work[r.cls()])
                 : r.arrived + UNTRIED * (r.expires - r.arrived);
-        return (long) Math.min(worthlessAt(r), last);
+        double takes = r.group.load.mean(now, replicaLoad.mean(now, PRESSURE / 2)) * r.kind.aimMicros();
+        return (long) Math.min(last, worthlessAt(r) - Math.min(takes, HELD_LEAST * r.kind.aimMicros()));
     }
 
     // ---- choice ----
@@ -591,7 +601,8 @@
         }
         Node n = r.write() ? forWrite(r) : longWork[r.cls()] ? keptForLong(r.group, r) : forRead(r);
         Node p = r.group.primary;
-        if (n == null && longWork[r.cls()] && ready(p, false) && room(p, r, READS_ON_PRIMARY)) {
+        if (n == null && longWork[r.cls()] && now > r.arrived + HOLD_OF_AIM * r.kind.aimMicros()
+                && ready(p, false) && room(p, r, READS_ON_PRIMARY)) {
             n = p;
         }
         if (n == null) {
@@ -665,7 +676,7 @@
         long need = need(r);
         Node best = null;
         double least = Double.MAX_VALUE;
-        boolean full = false;
+        boolean full = false, anyAge = r.kind.access() == Routing.Access.ANY;
         long soonest = Long.MAX_VALUE;
         int size = g.members.size();
         g.turn = (g.turn + 1) % Math.max(1, size);
@@ -687,8 +698,8 @@
                 continue;
             }
             double cost = (n.out.size() + 1) * slow(n) * (n.zone == settings.zone() ? 1 : FAR)
-                    * (n == kept ? KEPT_FOR_LONG : 1) * (n == r.last ? 4 : 1)
-                    * (r.erredAt.contains(n) ? ERRED : 1);
+                    * (n != kept ? 1 : anyAge ? 1 / KEPT_FOR_LONG : KEPT_FOR_LONG)
+                    * (n == r.last ? 4 : 1) * (r.erredAt.contains(n) ? ERRED : 1);
             if (cost < least) {
                 least = cost;
                 best = n;
@@ -719,8 +730,8 @@
     private Node keptForLong(Group g, Pending r) {
         for (Node n : g.members) {
             if (anyLong && n != g.primary && ready(n, false)
-                    && (r == null ? !cold(n) : n != r.last && room(n, r, 1))) {
-                return n;
+                    && !cold(n) && (r == null || n != r.last)) {
+                return r == null || room(n, r, 1) ? n : null;
             }
         }
         return null;
@@ -843,6 +854,7 @@
                     double least = (double) o.elapsedMicros() / r.kind.aimMicros();
                     if (least > pressure(n)) {
                         press(n, least);
+                        bound(n);
                     }
                 }
             }
@@ -891,10 +903,9 @@
         for (int cls : order) {
             ArrayDeque<Pending> queue = g.waiting.get(cls);
             int tries = settings.classes().get(cls).access() == Routing.Access.SESSION ? 40 : 1;
-            // Guards against overload: where late answers are worth little, the newest first try is served
-            // first, so that some answers are in time; first come, first served would make all late.
-            boolean newestFirst = settings.classes().get(cls).lateShare() < 0.5;
-            Iterator<Pending> it = newestFirst ? queue.descendingIterator() : queue.iterator();
+            // Guards against overload: the newest first try is served first, so that some answers are in
+            // time; first come, first served would make all late.
+            Iterator<Pending> it = queue.descendingIterator();
             while (it.hasNext() && tries > 0) {
                 Pending r = it.next();
                 if (place(r)) {
