Count lost answers little, let a crossing cost its price, and split Router.java by concern

Health.judge() pressed each at 2.5 to 4 of the aim, the new bound followed at once to its least of 3, and Limits.room() counted the lost ones in it until their time was up ("lim 2730" turned back in half a second, 38 in 100 refused).

Change: a time-out beside answers presses at most twice what is known; attempts out twice as long as they were due, with answers since, take no room; the bound follows no faster than the mean that it reads. prices.cross_zone is read and decides what the constant FAR did.

--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/Limits.java
@@ -0,0 +1,173 @@
+package lupinvalve;
+
+import lupinvalve.State.*;
+
+/** How much a db node is given: bounds that follow its latency, cold starts, and what is refused by lot. */
+final class Limits {
+    /** Part of the multiple a cold member may bear that it is given, and the requests it may save up for. */
+    private static final double COLD_PART = 0.75, COLD_BURST = 3, COLD_START = 4;
+    /**
+     * Start and least bound on all routers' attempts out at a member, greatest on own. Then the part of its
+     * aim that an answer may take in the mean: works vary about as their mean, so of a quarter e^-4 are late.
+     */
+    private static final double LIMIT_START = 16, LIMIT_LEAST = 6, LIMIT_MOST = 400, LIMIT_TELLS = 2;
+    private static final double PRESSURE = 0.25, PRESSURE_SHED = 0.42, PRESSURE_FULL = 1.5, WRITE_EASE = 2;
+    /** How long evidence of load counts, in microseconds, and how many answers outweigh what is pooled. */
+    private static final double MEMORY = 3e6, LEAN = 2, NEWEST = 12, LOT_STEEP = 3;
+    /** Latency over work of a member not yet known; a class is long with so many times the shortest aim. */
+    private static final double ORDINARY = 2, LONG = 4;
+    private final Scene s;
+    private final Gauge replicaLoad = gauge(), primaryLoad = gauge();
+    private final double leastLimit;
+    final double startLimit;
+    final double[] work;
+    final boolean[] longWork;
+    /** Whether there are long reads; whether all that each router may send is too little to tell load by. */
+    boolean anyLong, sparse;
+    /** Whether the last look for room was refused by lot. */
+    boolean shed;
+    private double warmServed;
+
+    Limits(Scene scene) {
+        s = scene;
+        startLimit = Math.max(1, LIMIT_START / s.settings.routers());
+        leastLimit = Math.max(1, LIMIT_LEAST / s.settings.routers());
+        sparse = leastLimit < LIMIT_TELLS;
+        int count = s.settings.classes().size();
+        work = new double[count];
+        longWork = new boolean[count];
+        long shortest = s.settings.classes().stream().mapToLong(c -> c.aimMicros()).min().orElse(0);
+        for (int i = 0; i < count; i++) {
+            Routing.RequestClass c = s.settings.classes().get(i);
+            work[i] = c.aimMicros() / 8.0;
+            longWork[i] = c.access() == Routing.Access.ANY && c.aimMicros() >= LONG * shortest;
+            anyLong |= longWork[i];
+        }
+    }
+
+    static Gauge gauge() {
+        return new Gauge(MEMORY, NEWEST, LEAN);
+    }
+
+    /** A full member: it turned a request back. */
+    void turnedBack(Node n) {
+        n.limit = Math.max(leastLimit, n.limit * 0.8);
+        press(n, PRESSURE_FULL);
+    }
+
+    /** How long an answer for a held request will take at its group, as far as it is known. */
+    double takes(Pending r) {
+        return r.group.load.mean(s.now, replicaLoad.mean(s.now, PRESSURE / 2)) * r.kind.aimMicros();
+    }
+
+    boolean cold(Node n) {
+        return n.coldSince != Long.MIN_VALUE && s.now - n.coldSince < s.settings.rules().warmUpMicros();
+    }
+
+    /**
+     * A cold member earns requests only as warm ones serve them, in proportion to its warmth at that moment,
+     * so all routers together keep it under what it can do however unevenly they are loaded. Served requests
+     * count: not sent ones, as repeats prove nothing, nor latencies, as queues swell them.
+     */
+    boolean coldRoom(Node n, Pending r) {
+        if (!cold(n)) {
+            return true;
+        }
+        if (longWork[r.cls()]) {
+            return false;
+        }
+        long warm = s.nodes.values().stream()
+                .filter(m -> m.health == Routing.Health.LIVE && m.strikes == 0 && !cold(m)).count();
+        if (warm == 0) {
+            return n.out.size() < (r.write() ? 3 : 1);
+        }
+        double share = s.settings.rules().coldShare();
+        double age = (double) (s.now - n.coldSince) / Math.max(1, s.settings.rules().warmUpMicros());
+        double warmth = share + (1 - share) * Math.min(1, Math.max(0, age));
+        double part = s.settings.rules().overloadMultiple() * COLD_PART;
+        double earned = (warmServed - n.coldBase) / warm * warmth * part;
+        n.coldBase = warmServed;
+        n.coldCredit = Math.min(COLD_BURST, n.coldCredit + earned);
+        return n.coldCredit >= 1;
+    }
+
+    boolean room(Node n, Pending r, double share) {
+        if (s.now < n.fullUntil || busy(n) >= Math.max(1, n.limit * share) || !coldRoom(n, r)) {
+            return false;
+        }
+        // Guards against many routers that each send little: what their attempts met decides by lot which
+        // requests are refused at once, the more the further latencies exceed the aim's part, repeats first.
+        double target = PRESSURE_SHED * (r.write() ? WRITE_EASE : share);
+        double open = Math.min(1, target / pressure(n));
+        if (!sparse || r.lot < Math.pow(open, LOT_STEEP)) {
+            return true;
+        }
+        shed = true;
+        return false;
+    }
+
+    /** Attempts that a member may be at work on: long overdue ones, with others answered since, are lost. */
+    int busy(Node n) {
+        int lost = 0;
+        for (Attempt a : n.out) {
+            if (s.now <= 2 * a.overdueAt() - a.sentAt() || n.answeredAt <= a.overdueAt()) {
+                break;
+            }
+            lost++;
+        }
+        return n.out.size() - lost;
+    }
+
+    /** Latency over aim at a member; it leans on that at its group's replicas, that on all of its kind. */
+    double pressure(Node n) {
+        boolean primary = n == n.group.primary;
+        double all = (primary ? primaryLoad : replicaLoad).mean(s.now, PRESSURE / 2);
+        return n.load.mean(s.now, primary ? all : n.group.load.mean(s.now, all));
+    }
+
+    /** Latency over work, leaning likewise. */
+    double slow(Node n) {
+        return n.slow.mean(s.now, n.group.slow.mean(s.now, ORDINARY));
+    }
+
+    void press(Node n, double x) {
+        n.load.add(s.now, x);
+        if (n == n.group.primary) {
+            primaryLoad.add(s.now, x);
+        } else {
+            n.group.load.add(s.now, x);
+            replicaLoad.add(s.now, x);
+        }
+    }
+
+    void adapt(Node n, Pending r, long elapsed) {
+        double w = work[r.cls()];
+        work[r.cls()] += (elapsed < w ? 0.1 : 0.02) * (elapsed - w);
+        n.slow.add(s.now, elapsed / work[r.cls()]);
+        n.group.slow.add(s.now, elapsed / work[r.cls()]);
+        press(n, (double) elapsed / r.kind.aimMicros());
+        bound(n);
+        if (!cold(n) && !longWork[r.cls()]) {
+            warmServed++;
+        }
+    }
+
+    /** Latency grows with what is out: the bound follows their ratio within one turn of its attempts. */
+    void bound(Node n) {
+        double p = pressure(n);
+        if (p > PRESSURE) {
+            n.limit = Math.max(leastLimit, n.limit * Math.pow(PRESSURE / p, 1 / Math.max(NEWEST, n.limit)));
+        } else if (n.out.size() + 1 > n.limit * 0.6) {
+            n.limit = Math.min(LIMIT_MOST, n.limit + 0.5);
+        }
+    }
+
+    void chill(Node n, long since) {
+        n.coldSince = Math.max(n.coldSince, since);
+        n.coldBase = warmServed;
+        // A random start: routers that earn little would else give a cold member nothing while it warms up.
+        // All of them start at once, so many of them start with less.
+        n.coldCredit = s.random.nextDouble() * Math.min(1, COLD_START / s.settings.routers());
+        n.limit = Math.min(n.limit, startLimit);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/Roster.java
@@ -0,0 +1,134 @@
+package lupinvalve;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import lupinvalve.State.Group;
+import lupinvalve.State.Node;
+import lupinvalve.State.Scene;
+
+/**
+ * The table of db nodes, by what discovery lists. Watches the list: asks at the start, and again after a
+ * failure, ever more rarely and spread over time.
+ */
+final class Roster {
+    private static final long ASK_FIRST = 250_000;
+    private static final int DOUBLINGS = 4;
+    /** How long a member that is gone is remembered, should the list name it again or a probe still end. */
+    private static final long GONE_KEPT = 5_000_000;
+    private final Scene s;
+    private final Limits limits;
+    private final Primaries primaries;
+    private boolean subscribed;
+    private int failures;
+    private long askAt;
+
+    Roster(Scene scene, Limits limits, Primaries primaries) {
+        s = scene;
+        this.limits = limits;
+        this.primaries = primaries;
+        if (s.settings.mustSubscribe()) {
+            subscribe();
+        }
+    }
+
+    private void subscribe() {
+        s.act.accept(new Routing.Subscribe(true));
+        askAt = s.now + Math.max(1_000_000, s.settings.rules().askWithinMicros() / 2);
+    }
+
+    private void failed() {
+        subscribed = false;
+        long most = s.settings.rules().askWithinMicros() / 4 + 1;
+        long pause = Math.min(ASK_FIRST << Math.min(failures++, DOUBLINGS), most);
+        askAt = s.now + pause / 2 + s.random.nextLong(pause / 2 + 1);
+    }
+
+    private void heard() {
+        subscribed = true;
+        failures = 0;
+    }
+
+    void tick() {
+        if (s.settings.mustSubscribe() && !subscribed && s.now >= askAt) {
+            subscribe();
+        }
+    }
+
+    void take(Routing.Members news) {
+        if (news.form() == Routing.ListForm.UNAVAILABLE) {
+            failed();
+            return;
+        }
+        if (news.form() != Routing.ListForm.RESTORED) {
+            heard();
+        }
+        boolean whole = news.form() != Routing.ListForm.UPDATE;
+        List<Node> unnamed = whole ? new ArrayList<>(s.nodes.values()) : new ArrayList<>();
+        for (Routing.Member m : news.members()) {
+            if (m.health() == Routing.Health.GONE && !s.nodes.containsKey(m.node())) {
+                continue;
+            }
+            Node n = s.nodes.computeIfAbsent(m.node(),
+                    id -> new Node(id, limits.startLimit, Limits.gauge(), Limits.gauge()));
+            if (n.group == null) {
+                adopt(n, m);
+            }
+            unnamed.remove(n);
+            n.zone = m.zone();
+            setHealth(n, m.health());
+            restarted(n, m.bornMicros());
+            if (m.listedPrimary() && n.group.primary == null && n.replicaAt == Long.MIN_VALUE
+                    && m.health() == Routing.Health.LIVE) {
+                n.group.primary = n;
+            }
+        }
+        unnamed.forEach(n -> setHealth(n, Routing.Health.GONE));
+    }
+
+    private void adopt(Node n, Routing.Member m) {
+        int classes = s.settings.classes().size();
+        Group g = s.groups.computeIfAbsent(m.group(),
+                id -> new Group(Limits.gauge(), Limits.gauge(), classes, s.random.nextInt(1 << 16)));
+        n.group = g;
+        g.members.add(n);
+        g.members.sort(Comparator.comparing(x -> x.id));
+    }
+
+    private void setHealth(Node n, Routing.Health health) {
+        if (health != Routing.Health.LIVE && n.health == Routing.Health.LIVE) {
+            n.toldLeaving = s.now;
+        }
+        n.health = health;
+        if (health == Routing.Health.GONE && n.group.primary == n) {
+            primaries.lose(n.group);
+        }
+    }
+
+    /** A later start means a cold process that has lost whatever role it had. */
+    private void restarted(Node n, long born) {
+        if (born <= n.born) {
+            return;
+        }
+        n.born = born;
+        limits.chill(n, born);
+        if (n.group.primary == n && n.group.claim < born) {
+            primaries.lose(n.group);
+        }
+    }
+
+    /** Forgets members that have long left. */
+    void forget() {
+        s.nodes.values().removeIf(this::forgotten);
+    }
+
+    /** Each deploy brings new ids: members that have left, and have nothing out, must not pile up. */
+    private boolean forgotten(Node n) {
+        boolean over = n.health == Routing.Health.GONE && n.out.isEmpty()
+                && s.now > n.toldLeaving + GONE_KEPT;
+        if (over) {
+            n.group.members.remove(n);
+        }
+        return over;
+    }
+}
--- a/daemon/src/main/java/lupinvalve/Routing.java
+++ b/daemon/src/main/java/lupinvalve/Routing.java
@@ -109,13 +109,24 @@
         }
     }
 
-    /** The settings of one router. */
+    /**
+     * The settings of one router.
+     *
+     * @param crossingPrice what each attempt that leaves the own zone costs, as a part of a request's worth
+     */
     public record Settings(int self, int routers, int zone, boolean mustSubscribe, List<RequestClass> classes,
-            Limits limits, Rules rules, Replication replication) {
+            Limits limits, Rules rules, Replication replication, double crossingPrice) {
+        /** Where another zone costs nothing. */
+        public Settings(int self, int routers, int zone, boolean mustSubscribe, List<RequestClass> classes,
+                Limits limits, Rules rules, Replication replication) {
+            this(self, routers, zone, mustSubscribe, classes, limits, rules, replication, 0);
+        }
+
         public Settings {
             classes = List.copyOf(classes);
             require(!classes.isEmpty(), "classes");
             require(routers > 0, "n_instances " + routers);
+            require(crossingPrice >= 0, "prices.cross_zone");
             require(self >= 0 && self < routers, "me " + self + " of " + routers);
         }
     }
--- a/daemon/src/main/java/lupinvalve/State.java
+++ b/daemon/src/main/java/lupinvalve/State.java
@@ -2,15 +2,37 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 /** What a {@link Router} holds between events. Nothing here decides anything; all values come from the router. */
 final class State {
     private State() {}
 
+    /** What all parts of one router share: settings, random numbers, the clock, tables, and where actions go. */
+    static final class Scene {
+        final Routing.Settings settings;
+        final SplittableRandom random;
+        final Map<String, Node> nodes = new LinkedHashMap<>();
+        final Map<Integer, Group> groups = new LinkedHashMap<>();
+        final Map<String, Pending> requests = new HashMap<>();
+        long now;
+        Consumer<? super Routing.Action> act;
+
+        Scene(Routing.Settings settings, long seed, long now, Consumer<? super Routing.Action> act) {
+            this.settings = settings;
+            this.random = new SplittableRandom(seed);
+            this.now = now;
+            this.act = act;
+        }
+    }
+
     /**
      * A mean that forgets: evidence fades within a memory and counts at most the newest so many samples. Where
      * little was seen, it leans on what the caller gives for it.
@@ -139,6 +161,11 @@
             return asked.classIndex();
         }
 
+        /** From when on an answer is worth little, unless it is a repeat: that may always have been so. */
+        long worthlessAt() {
+            return kind.lateShare() < 0.5 && !repeat ? arrived + kind.aimMicros() : Long.MAX_VALUE;
+        }
+
         boolean write() {
             return kind.access() == Routing.Access.WRITE;
         }
--- a/daemon/src/main/java/lupinvalve/wire/Fields.java
+++ b/daemon/src/main/java/lupinvalve/wire/Fields.java
@@ -80,6 +80,10 @@
         throw wrong(name, "is not an array");
     }
 
+    boolean has(String name) {
+        return values.get(name) != null;
+    }
+
     List<Object> arrayOrEmpty(String name) {
         return values.get(name) == null ? List.of() : array(name);
     }
--- a/daemon/src/main/java/lupinvalve/wire/SettingsReader.java
+++ b/daemon/src/main/java/lupinvalve/wire/SettingsReader.java
@@ -25,7 +25,7 @@
             Routing.Limits l = s.limits();
             return new Site(new Routing.Settings(s.self(), s.routers(), s.zone(), s.mustSubscribe(), s.classes(),
                     new Routing.Limits(l.attempts(), l.parallelAttempts(), l.cancel(), l.probe(), l.retryAfter(),
-                            l.maxRetryAfterMicros(), Math.min(l.openMost(), most)), s.rules(), s.replication()),
+                            l.maxRetryAfterMicros(), Math.min(l.openMost(), most)), s.rules(), s.replication(), s.crossingPrice()),
                     connectMicros, keepaliveMicros, zones, ratePerSecond);
         }
     }
@@ -60,7 +60,8 @@
                     new Routing.Rules(rules.wholeOr("answer_slack_us", 0), rules.whole("stop_sending_within_us"),
                             rules.wholeOr("ask_within_us", 0), rules.number("cold_from"),
                             rules.whole("ramp_time_us"), rules.number("fall_multiple"), rules.whole("fall_us")),
-                    new Routing.Replication(check(family), family.wholeOr("wait_us", 0), tokens(family)));
+                    new Routing.Replication(check(family), family.wholeOr("wait_us", 0), tokens(family)),
+                    env.has("prices") ? env.object("prices").numberOr("cross_zone", 0) : 0);
         } catch (IllegalArgumentException e) {
             throw new WireException("message UP env: " + e.getMessage());
         }
--- a/daemon/src/test/java/lupinvalve/RouterTest.java
+++ b/daemon/src/test/java/lupinvalve/RouterTest.java
@@ -878,6 +878,55 @@
         assertTrue(sent > 0 && sent < 40, "sent " + sent);
     }
 
+    /** The second deployment's day churn: one answer in seven got lost, and bounds sank to their least for it. */
+    @Test
+    void answersThatGetLostBesideOthersTakeNoRoomAndLeaveTheBound() {
+        start(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.KEYED);
+        known();
+        int served = 0;
+        for (int i = 0; i < 400; i++) {
+            String id = "w" + i;
+            request(id, WRITE, "s", 2000 * MS);
+            now += 10 * MS;
+            if (sentTo(id) != null && i % 7 != 0) {
+                served++;
+                give(new Routing.Outcome(id, 0, "a", Ending.SERVED, 20 * MS, true, now, Role.PRIMARY));
+            }
+            String lost = "w" + (i - 100);
+            if (i % 7 == 100 % 7 && sentTo(lost) != null) {
+                give(new Routing.Outcome(lost, 0, "a", Ending.TIMED_OUT, 1000 * MS, false, Routing.NO_POSITION,
+                        Role.UNKNOWN));
+            }
+            give(new Routing.TimerFired(1));
+        }
+        assertTrue(served > 330, "of 342 that could be: " + served);
+    }
+
+    /** Where a crossing has its price, a read goes on to the own zone while that is not much slower. */
+    @Test
+    void readsStayInTheirZoneTheLongerTheMoreACrossingCosts() {
+        assertTrue(crossings(0.04) < 8, "dear: " + crossings(0.04));
+        assertTrue(crossings(0) > 9, "free: " + crossings(0));
+    }
+
+    /** Of 30 reads at once, how many leave their zone. */
+    private long crossings(double price) {
+        done.clear();
+        Routing.Settings s = settings(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.KEYED);
+        router = new Router(7, new Routing.Settings(0, 1, 0, true, s.classes(), s.limits(), s.rules(),
+                s.replication(), price), now, done::add);
+        list(ListForm.RESTORED, live("a", true), live("b", false), live("c", false),
+                new Routing.Member("far", 1, 1, Health.LIVE, false, 0),
+                new Routing.Member("further", 1, 1, Health.LIVE, false, 0));
+        for (String id : List.of("b", "c", "far", "further")) {
+            probed(id, now, Role.REPLICA);
+        }
+        for (int i = 0; i < 24; i++) {
+            request("r" + i, READ, null, 400 * MS);
+        }
+        return done.stream().filter(a -> a instanceof Routing.Send send && send.node().startsWith("f")).count();
+    }
+
     // ---- the rest ----
 
     @Test
