--- a/daemon/src/main/java/lupinvalve/Holding.java
+++ b/daemon/src/main/java/lupinvalve/Holding.java
@@ -15,6 +15,8 @@
     private static final double UNTRIED = 0.49;
     /** Part of the requests clients can have open which may be held; of an aim kept for an answer at most. */
     private static final double HELD_PART = 0.3, HELD_LEAST = 0.7;
+    /** Part of its aim that a request is held: reads for a replica, then the primary; writes for theirs. */
+    private static final double HELD_READ = 0.22, HELD_WRITE = 0.5;
     /** Part of its aim after which a read that was refused should come back. */
     private static final double ADVICE = 0.18;
     private final Scene s;
@@ -96,11 +98,13 @@
 
     /** When a held request is no longer worth holding. */
     long giveUpAt(Pending r) {
-        // Guards against clients kept waiting for nothing: one told early has time to come back.
+        // Guards against clients kept waiting for nothing: the newest go first, so what has waited for long
+        // is hardly served any more, and one told early can come back in time.
+        double most = r.arrived + (r.write() ? HELD_WRITE : HELD_READ) * r.kind.aimMicros();
         double last = r.reached ? r.expires - Math.max(MARGIN, limits.work[r.cls()])
                 : r.arrived + UNTRIED * (r.expires - r.arrived);
         double takes = Math.min(limits.takes(r), HELD_LEAST * r.kind.aimMicros());
-        return (long) Math.min(last, r.worthlessAt() - takes);
+        return (long) Math.min(Math.min(most, last), r.worthlessAt() - takes);
     }
 
     void placeOrHold(Pending r) {
