Plant the repeated write in what the router hears, not in the checker

Cause: read again, the planted REPEATED_WRITE of RulesWorld changed the check itself: any second try counted as one that may have run, so it showed nothing of the checker.

Change: the planted router hears NOT_CONNECTED where the attempt had timed out, repeats, and the unchanged check finds it. A field that was only written is gone; MemoryDisk's lies was the same as the planted ACK_BEFORE_FORCE and is one with it.

Only tests and the simulation are touched.

--- a/daemon/src/test/java/lupinvalve/RulesWorld.java
+++ b/daemon/src/test/java/lupinvalve/RulesWorld.java
@@ -118,7 +118,6 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final List<Routing.RequestClass> classes = new ArrayList<>();
     private final Box[] primaries;
-    private final long[] changedAt;
     private final Map<String, Boolean> toldReplica = new HashMap<>();
     private final Routing.Rules rules;
     private final Routing.Limits limits;
@@ -146,7 +145,6 @@
         replication = new Routing.Replication(FreshnessCheck.values()[random.nextInt(3)], random.nextInt(60) * MS,
                 TokenSource.CARRIED);
         primaries = new Box[groups];
-        changedAt = new long[groups];
         double capacity = 0;
         for (int g = 0; g < groups; g++) {
             int size = 2 + random.nextInt(5);
@@ -337,8 +335,7 @@
         if (b.group != c.group || c.out != null || c.tries >= limits.attempts()) {
             broken.add("effect: another group, a second at a time, or one too many: " + c.id);
         }
-        boolean mayHaveRun = c.mayHaveRunSince != Long.MAX_VALUE
-                || planted == Planted.REPEATED_WRITE && c.tries > 0;
+        boolean mayHaveRun = c.mayHaveRunSince != Long.MAX_VALUE;
         if (mayHaveRun && (kind.effect() == Effect.UNSAFE
                 || kind.effect() == Effect.KEYED && now >= c.mayHaveRunSince + kind.keyTtlMicros())) {
             broken.add("effect: a repeat that may run twice: " + c.id);
@@ -435,7 +432,9 @@
             served++;
             end(c);
         }
-        give(c.router, new Routing.Outcome(c.id, w.number, w.box.id, ending, now - w.sent, c.over,
+        // A router that takes what may have run for what never did.
+        Ending heard = planted == Planted.REPEATED_WRITE && ending == Ending.TIMED_OUT ? Ending.NOT_CONNECTED : ending;
+        give(c.router, new Routing.Outcome(c.id, w.number, w.box.id, heard, now - w.sent, c.over,
                 told ? w.box.at() : Routing.NO_POSITION, role));
     }
 
@@ -489,10 +488,7 @@
 
     private void elect(Box old) {
         all.stream().filter(x -> x.group == old.group && x != old && x.up && x.listed == Health.LIVE).findFirst()
-                .ifPresent(next -> {
-                    primaries[old.group] = next;
-                    changedAt[old.group] = now;
-                });
+                .ifPresent(next -> primaries[old.group] = next);
     }
 
     private void tell(Box b, Health health) {
--- a/faults/src/main/java/lupinvalve/replication/MemoryDisk.java
+++ b/faults/src/main/java/lupinvalve/replication/MemoryDisk.java
@@ -18,8 +18,6 @@
     final TreeMap<String, File> files = new TreeMap<>();
     /** Bytes that it still takes; a disk that is full takes the part that fits. */
     long room = Long.MAX_VALUE;
-    /** Says that it has forced what it has not. */
-    boolean lies;
     /** What is done wrong on purpose. */
     Sweep.Planted planted = Sweep.Planted.NONE;
 
@@ -87,7 +85,7 @@
 
             @Override
             public void force() {
-                boolean skipped = lies || planted == Sweep.Planted.ACK_BEFORE_FORCE
+                boolean skipped = planted == Sweep.Planted.ACK_BEFORE_FORCE
                         || planted == Sweep.Planted.VOTE_NOT_FORCED && small;
                 file.forced = skipped ? file.forced : file.bytes.length;
             }
--- a/faults/src/test/java/lupinvalve/replication/SimulationTest.java
+++ b/faults/src/test/java/lupinvalve/replication/SimulationTest.java
@@ -38,7 +38,7 @@
         try {
             Simulation sim = new Simulation(seed, seed % 3 == 0 ? 5 : 3, 0);
             Simulation.Clients clients = sim.new Clients();
-            sim.each(m -> m.disk.lies = lying);
+            sim.each(m -> m.disk.planted = lying ? Sweep.Planted.ACK_BEFORE_FORCE : Sweep.Planted.NONE);
             for (int step = 0; step < 60; step++) {
                 switch (sim.random.nextInt(12)) {
                     case 0 -> fault(sim);
