--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -26,6 +26,7 @@
 import lupinvalve.net.Pool;
 import lupinvalve.pg.PgBackend;
 import lupinvalve.pg.PgFront;
+import lupinvalve.replication.Group;
 import lupinvalve.upkeep.Drain;
 
 /** One pooler with all its parts. */
@@ -55,7 +56,7 @@
     // One of them is the directory.
     private HttpDirectory http;
     private DnsDirectory dns;
-    private Net.Listener listener;
+    private volatile Net.Listener listener;
     // What an operator may turn on.
     private OperatorConfig operator;
     private final OperatorConfig local;
@@ -75,12 +76,22 @@
 
     /** @param folder that two processes of this pooler share during an upgrade, or null */
     public Daemon(NodeConfig config, OperatorConfig file, Path folder) throws IOException {
+        this(config, file, folder, null);
+    }
+
+    /** Opens a member's folder and takes part in its group. */
+    interface Opening {
+        Group open(OperatorConfig.Store config) throws IOException;
+    }
+
+    /** @param opening null for the program's own; no class of a group is touched where there is no store */
+    Daemon(NodeConfig config, OperatorConfig file, Path folder, Opening opening) throws IOException {
         this.config = config;
         operator = file;
         local = file;
         pooler = new Pooler(loop, config.site().settings());
         if (operator.store() != null) {
-            shared = new Shared(pooler, operator.store(), this::adopted, this::held);
+            shared = new Shared(pooler, operator.store(), opening, this::adopted, this::held);
             operator = local.accepted(shared.document());
         }
         // Two fronts and two pools share the sockets that one of each would have.
@@ -368,7 +379,10 @@
             if (operations != null) {
                 operations.serves(false);
             }
-            if (succeeded) {
+            if (listener == null) {
+                // The start failed, or was not over: nobody was let in, and nobody waits for an answer.
+                then.run();
+            } else if (succeeded) {
                 leave(then);
             } else {
                 loop.after(left - LAST_CALL, () -> leave(then));
--- a/daemon/src/main/java/lupinvalve/cli/Shared.java
+++ b/daemon/src/main/java/lupinvalve/cli/Shared.java
@@ -34,16 +34,17 @@
     private long toldAt;
 
     /**
+     * @param opening null for the program's own
      * @param adopted acts on a configuration; on the core thread
      * @param held is told whether this pooler itself is held; on the core thread
      */
-    Shared(Pooler pooler, OperatorConfig.Store config, Consumer<byte[]> adopted, Consumer<Boolean> held)
-            throws IOException {
+    Shared(Pooler pooler, OperatorConfig.Store config, Daemon.Opening opening, Consumer<byte[]> adopted,
+            Consumer<Boolean> held) throws IOException {
         this.pooler = pooler;
         this.adopted = adopted;
         this.held = held;
         name = config.name();
-        group = new Group(config);
+        group = opening == null ? new Group(config) : opening.open(config);
         tokens = new Tokens(pooler.loop(), group, config.waitMicros(), Encoding.commits(group.warm()));
         pooler.marks(tokens);
     }
--- a/daemon/src/main/java/lupinvalve/handoff/OrdersFile.java
+++ b/daemon/src/main/java/lupinvalve/handoff/OrdersFile.java
@@ -5,13 +5,10 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -29,15 +26,22 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** Longer than any file of ours: what is longer is not read. */
     private static final long BYTES_MOST = 1 << 20;
-    private final Path file, beside, lock;
+    private final Shelf shelf;
+    private final String file, beside, lock;
     private byte[] seen = {};
     private boolean reported;
 
     /** @param stem path of the files, without their endings */
     public OrdersFile(Path stem) {
-        file = stem.resolveSibling(stem.getFileName() + ".orders.json");
-        beside = stem.resolveSibling(stem.getFileName() + ".orders.new");
-        lock = stem.resolveSibling(stem.getFileName() + ".lock");
+        this(Shelf.of(stem.toAbsolutePath().getParent()), stem.getFileName().toString());
+    }
+
+    /** @param name of the files on the shelf, without their endings */
+    public OrdersFile(Shelf shelf, String name) {
+        this.shelf = shelf;
+        file = name + ".orders.json";
+        beside = name + ".orders.new";
+        lock = name + ".lock";
     }
 
     /**
@@ -45,15 +49,21 @@
      * could be read stands beside what is held: a db node too many is out, and none that was taken out is used.
      */
     public Orders changed(Orders held) {
+        try {
+            return news(held);
+        } catch (IOException e) {
+            report("can't be read: " + e);
+            return null;
+        }
+    }
+
+    private Orders news(Orders held) throws IOException {
         byte[] bytes;
         try {
-            bytes = Files.size(file) > BYTES_MOST ? new byte[] {'!'} : Files.readAllBytes(file);
+            bytes = shelf.size(file) > BYTES_MOST ? new byte[] {'!'} : shelf.read(file);
         } catch (NoSuchFileException e) {
             // Nobody has given an order yet, or somebody cleared the folder: what is held stays.
             return null;
-        } catch (IOException e) {
-            report("can't be read: " + e);
-            return null;
         }
         if (Arrays.equals(bytes, seen)) {
             return null;
@@ -62,19 +72,23 @@
         return read(bytes, held);
     }
 
-    /** Makes a change to what the file holds; it is in the file when this returns. */
+    /**
+     * Makes a change to what the file holds; it is in the file when this returns. Where the file can't be read there is no
+     * change: made to what is held here, it would undo what the other process wrote since.
+     */
     public Orders change(Orders held, UnaryOperator<Orders> change) throws IOException {
-        // The lock ends with the channel.
-        try (FileChannel channel = FileChannel.open(lock, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-            channel.lock();
-            Orders other = changed(held);
+        Closeable locked = shelf.lock(lock);
+        try {
+            Orders other = news(held);
             Orders next = change.apply(other == null ? held : other);
             byte[] bytes = bytes(next);
-            Files.write(beside, bytes);
-            Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            shelf.write(beside, bytes);
+            shelf.move(beside, file);
             seen = bytes;
             reported = false;
             return next;
+        } finally {
+            locked.close();
         }
     }
 
--- a/daemon/src/main/java/lupinvalve/replication/Group.java
+++ b/daemon/src/main/java/lupinvalve/replication/Group.java
@@ -40,9 +40,9 @@
 public final class Group {
     /** Answers that wait for a majority at once; those beyond go out when their bound is over. */
     private static final int HELD_MOST = 10_000;
-    /** Far past the library's own patience of 0.6 s, and past an election. */
-    private static final long LEADER_GONE = 2_000_000;
-    private static final long TICK = 100_000, FORWARDED = 3_000_000, MEMBERS_WITHIN = 20_000_000, STEP = 50_000;
+    private static final long TICK = 100_000;
+    /** How soon a disk that failed is tried again, and how late at most. */
+    private static final long REVIVE = 500_000, REVIVE_MOST = 16_000_000;
 
     /** The pooler's side. Called on the group's thread. */
     public interface Pooler {
@@ -61,7 +61,8 @@
 
     private final OperatorConfig.Store config;
     private final Loop loop = new Loop("store");
-    private final Schedule schedule = Schedule.of(loop);
+    private final Seams seams;
+    private final Schedule schedule;
     private final Tls tls;
     private final Net net;
     private final Disk disk;
@@ -70,6 +71,7 @@
     private final Adoption adoption;
     private final Founding founding;
     private final Peers peers;
+    private final Questions questions = new Questions(this);
     private final Outbox outbox = new Outbox();
     private final TreeMap<Long, List<Runnable>> held = new TreeMap<>();
     private final Map<String, String> addresses = new HashMap<>();
@@ -81,13 +83,41 @@
     private Identity leader;
     private String waitsFor = "";
     private boolean outboxTimer, stopped;
-    private long leaderSeenAt;
-    private OldStore old;
+    private long reviveAt, reviveAfter = REVIVE;
+    private final TakeOver takeOver;
     private volatile boolean leading;
 
+    /** Where a member meets the world. The program's own are these; a laboratory counts what goes through others. */
+    public interface Seams {
+        /** The program's own: the world as it is. */
+        Seams NONE = new Seams() { };
+
+        /** The way to a folder. */
+        default Disk disk(Disk folder) {
+            return folder;
+        }
+
+        /** Where the member's work runs. */
+        default Schedule schedule(Schedule own) {
+            return own;
+        }
+
+        /** Whether a message goes to another member, or one that came is heard. */
+        default boolean passes(boolean sent) {
+            return true;
+        }
+    }
+
     /** Opens the folder; throws with one line that says what is wrong with it and where. */
     public Group(OperatorConfig.Store config) throws IOException {
+        this(config, Seams.NONE);
+    }
+
+    /** The same, through seams. */
+    public Group(OperatorConfig.Store config, Seams seams) throws IOException {
         this.config = config;
+        this.seams = seams;
+        schedule = seams.schedule(Schedule.of(loop));
         tls = config.tls() == null ? null : new Tls(config.tls());
         if (tls == null) {
             List<String> all = new ArrayList<>(config.members().values());
@@ -101,7 +131,7 @@
             }
         }
         net = new Net(loop, false, tls);
-        disk = new FolderDisk(config.folder(), true);
+        disk = seams.disk(new FolderDisk(config.folder(), true));
         try {
             log = SegmentedLog.open(disk, config.cluster(), config.name(), SegmentedLog.diskName());
             warm = Replica.warm(log);
@@ -109,7 +139,7 @@
             disk.close();
             throw new IOException("store " + config.folder() + ": " + e.getMessage(), e);
         }
-        old = OldStore.read(config.folder());
+        takeOver = new TakeOver(OldStore.read(config.folder()));
         adoption = new Adoption(loop.now());
         founding = new Founding(log.word(), config.members().keySet());
         peers = new Peers(net, loop, config.cluster(), config.name(), config.listen(), log.word(),
@@ -189,6 +219,20 @@
 
     // ---- the group ----
 
+    private final Replica.Sending sending = new Replica.Sending() {
+        @Override
+        public void send(Identity to, byte[] message) {
+            if (seams.passes(true)) {
+                peers.send(to, message);
+            }
+        }
+
+        @Override
+        public boolean reaches(Identity who) {
+            return peers.reaches(who);
+        }
+    };
+
     private final class Hearing implements Peers.Heard {
         @Override
         public void word(Founding.Word word, String address) {
@@ -205,14 +249,14 @@
 
         @Override
         public void raft(byte[] message) throws IOException {
-            if (replica != null) {
+            if (replica != null && seams.passes(false)) {
                 replica.handle(message);
             }
         }
 
         @Override
         public void call(Messages.Call call, Consumer<Messages.Answer> answer) {
-            Group.this.call(call, answer);
+            questions.call(call, answer);
         }
     }
 
@@ -229,13 +273,13 @@
                 peers.say(log.word());
             }
         } catch (IOException e) {
-            end("the disk fails");
+            end(Replica.DISK);
             return;
         }
         Founding.Phase phase = log.word().phase();
         boolean grouped = phase == Founding.Phase.FOUNDED || phase == Founding.Phase.NEWCOMER;
         if (grouped && replica == null && ended == null && !stopped) {
-            replica = new Replica(schedule, log, log.word().founders(), peers, new Random(), new Watching());
+            replica = new Replica(schedule, log, log.word().founders(), sending, new Random(), new Watching());
             replica.start();
         }
     }
@@ -304,6 +348,7 @@
         if (ended == null) {
             ended = why;
             leading = false;
+            reviveAt = loop.now() + reviveAfter;
             if (!stopped) {
                 Log.error("store: takes no part any more: %s; %s", why, adoption.acting());
             }
@@ -319,7 +364,7 @@
             Log.info("store: %s leads, term %s", now, replica.term());
         }
         leader = now;
-        wakeUp();
+        revive();
         leading = replica != null && replica.leads();
         String line = adoption.touch(leader != null, loop.now());
         if (line != null) {
@@ -333,57 +378,36 @@
             }
         } else if (leading) {
             announce();
-            takeOver();
+            takeOver.lead(replica, document -> pooler.objection(document) == null,
+                    (session, position) -> outbox.add(session, position, loop.now()));
         }
         pump();
         loop.after(TICK, this::tick);
     }
 
     /**
-     * Guards against a fault of the library (0.7): a follower may go on taking a leader for alive that is gone. Its node
-     * then begins anew from its disk, as after a restart.
+     * A member whose disk failed takes part again once the disk is good, from what is really there: each file is read and
+     * forced anew before anything of it is believed. Tried ever more rarely.
      */
-    private void wakeUp() {
-        if (leader == null || replica.leads() || peers.reaches(leader) || ended != null) {
-            leaderSeenAt = loop.now();
-        } else if (loop.now() - leaderSeenAt > LEADER_GONE) {
-            Log.warn("store: %s has been out of reach for long and is still taken for the leader: the node starts anew", leader);
-            leaderSeenAt = loop.now();
-            Replica old = replica;
-            replica = null;
-            leader = null;
-            old.leave();
-            schedule.post(() -> schedule.post(() -> {
-                log.close(false);
-                try {
-                    log = SegmentedLog.open(disk, config.cluster(), config.name(), "");
-                    settle();
-                } catch (IOException e) {
-                    end(e.getMessage());
-                }
-            }));
-        }
-    }
-
-    /** What the earlier store left here, where the group has no configuration yet. */
-    private void takeOver() {
-        OldStore left = old;
-        old = null;
-        if (left == null) {
+    private void revive() {
+        if (ended == null || !ended.equals(Replica.DISK) || loop.now() < reviveAt) {
             return;
         }
-        left.sessions().forEach((session, position) -> outbox.add(session, position, loop.now()));
-        if (left.document() == null || pooler.objection(left.document()) != null) {
-            left.done();
+        reviveAfter = Math.min(REVIVE_MOST, reviveAfter * 2);
+        reviveAt = loop.now() + reviveAfter;
+        try {
+            SegmentedLog again = SegmentedLog.reopen(disk, config.cluster(), config.name());
+            log.close(false);
+            log = again;
+        } catch (IOException e) {
+            Log.warn("store: the disk still fails: %s", e.getMessage());
             return;
         }
-        replica.propose(new Change.Put(0, left.document()), (fate, outcome) -> {
-            if (fate == Replica.Fate.DONE) {
-                left.done();
-            } else {
-                old = left;
-            }
-        });
+        Log.info("store: the disk is good again; this member takes part from what is on it");
+        ended = null;
+        replica = null;
+        reviveAfter = REVIVE;
+        settle();
     }
 
     /** Where newcomers are reached must be known to all. */
@@ -456,263 +480,51 @@
         if (replica.leads()) {
             replica.propose(change, (fate, outcome) -> accepted.accept(fate == Replica.Fate.DONE));
         } else {
-            peers.call(leader, "propose", List.of(Encoding.write(change)), FORWARDED,
+            peers.call(leader, "propose", List.of(Encoding.write(change)), Questions.FORWARDED,
                     answer -> accepted.accept(answer.code() == Messages.Code.OK));
         }
     }
 
-    // ---- what is asked ----
+    // ---- what questions look at ----
 
-    private static String argument(Messages.Call call, int at) throws IOException {
-        if (call.arguments().size() <= at) {
-            throw new IOException(call.name() + " lacks an argument");
-        }
-        return new String(call.arguments().get(at), StandardCharsets.UTF_8);
+    Replica replica() {
+        return replica;
     }
 
-    private void call(Messages.Call call, Consumer<Messages.Answer> answer) {
-        try {
-            if (call.name().equals("status")) {
-                status(text -> answer.accept(new Messages.Answer(call.id(), Messages.Code.OK, text)));
-            } else if (replica == null || ended != null) {
-                answer.accept(new Messages.Answer(call.id(), Messages.Code.AGAIN, ended != null
-                        ? "this member takes no part any more: " + ended : "the group is not founded yet: "
-                                + founding.wanting()));
-            } else if (replica.leads()) {
-                lead(call, answer);
-            } else if (leader == null || call.name().startsWith(">")) {
-                answer.accept(new Messages.Answer(call.id(), Messages.Code.AGAIN, "no majority is in touch: no leader"));
-            } else {
-                peers.call(leader, call.name().equals("propose") ? "propose" : ">" + call.name(), call.arguments(),
-                        call.name().equals("add") || call.name().equals("remove") ? MEMBERS_WITHIN + FORWARDED : FORWARDED,
-                        got -> answer.accept(new Messages.Answer(call.id(), got.code(), got.text())));
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, String.valueOf(e.getMessage())));
-        }
-    }
-
-    private void lead(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
-        String name = call.name().startsWith(">") ? call.name().substring(1) : call.name();
-        switch (name) {
-            case "propose" -> replica.propose(Encoding.read(call.arguments().get(0)), told(call, answer,
-                    outcome -> "{}"));
-            case "get" -> replica.upToDate(told(call, answer, ok -> document(call)));
-            case "put" -> put(call, answer);
-            case "hold" -> replica.propose(new Change.Hold(holding(call), argument(call, 2), loop.now()), taken(call, answer));
-            case "release" -> replica.propose(new Change.Release(holding(call)), taken(call, answer));
-            case "holds" -> replica.upToDate(told(call, answer, ok -> holds()));
-            case "members" -> replica.report(told(call, answer, this::members));
-            case "add", "remove" -> change(new Membership.Wish(name.equals("add"), argument(call, 0)),
-                    loop.now() + MEMBERS_WITHIN, (code, text) -> answer.accept(new Messages.Answer(call.id(), code, text)));
-            case "snapshot" -> replica.snapshot(told(call, answer, report -> Json.object(out -> {
-                out.writeNumberField("snapshot_index", report.getLog().getLastSnapshotIndex());
-                out.writeNumberField("snapshot_bytes", log.snapshotBytes());
-            })));
-            default -> answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, "no such call: " + name));
-        }
-    }
-
-    private static Change.Holding holding(Messages.Call call) throws IOException {
-        String kind = argument(call, 0);
-        if (!kind.equals("node") && !kind.equals("pooler")) {
-            throw new IOException("what is held is a node or a pooler, not a " + kind);
-        }
-        return new Change.Holding(kind.equals("node") ? Change.Kind.NODE : Change.Kind.POOLER, argument(call, 1));
-    }
-
-    private static Messages.Code code(Replica.Fate fate) {
-        return switch (fate) {
-            case DONE -> Messages.Code.OK;
-            case ELSEWHERE -> Messages.Code.AGAIN;
-            case REFUSED -> Messages.Code.REFUSED;
-            default -> Messages.Code.UNKNOWN;
-        };
-    }
-
-    private static String words(Replica.Fate fate) {
-        return fate == Replica.Fate.ELSEWHERE ? "the leader changes or has too much to do: nothing has happened"
-                : fate == Replica.Fate.REFUSED ? "the group can't do that now" : "it may have happened: look before asking again";
-    }
-
-    private <T> Replica.Then<T> told(Messages.Call call, Consumer<Messages.Answer> answer, Function<T, String> text) {
-        return (fate, result) -> answer.accept(new Messages.Answer(call.id(), code(fate),
-                fate == Replica.Fate.DONE ? text.apply(result) : words(fate)));
-    }
-
-    private Replica.Then<Ledger.Outcome> taken(Messages.Call call, Consumer<Messages.Answer> answer) {
-        return (fate, outcome) -> {
-            Messages.Code code = code(fate);
-            String text = fate == Replica.Fate.DONE ? "{}" : words(fate);
-            if (fate == Replica.Fate.DONE && outcome.result() == Ledger.Result.CONFLICT) {
-                code = Messages.Code.CONFLICT;
-                text = "revision " + outcome.revision() + " holds by now";
-            } else if (fate == Replica.Fate.DONE && outcome.result() == Ledger.Result.TOO_MUCH) {
-                code = Messages.Code.REFUSED;
-                text = "too long, or too many of them";
-            } else if (fate == Replica.Fate.DONE) {
-                text = Json.object(out -> {
-                    out.writeBooleanField("changed", outcome.result() == Ledger.Result.DONE);
-                    out.writeNumberField("revision", outcome.revision());
-                });
-            }
-            answer.accept(new Messages.Answer(call.id(), code, text));
-        };
-    }
-
-    private void put(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
-        long expected = Long.parseLong(argument(call, 0));
-        byte[] document = call.arguments().get(1);
-        // Checked whole before it is proposed: what a majority accepts is a configuration that can be acted on.
-        String objection = pooler.objection(document);
-        if (objection != null) {
-            answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, objection));
-            return;
-        }
-        replica.propose(new Change.Put(expected, document), taken(call, answer));
-    }
-
-    private String document(Messages.Call call) {
-        Ledger.Document document = replica.ledger().document();
-        boolean bare = !call.arguments().isEmpty() && call.arguments().get(0).length > 0;
-        return Json.object(out -> {
-            out.writeNumberField("revision", replica.ledger().revision());
-            if (document != null) {
-                out.writeNumberField("change", document.index());
-                out.writeStringField("digest", document.digest());
-                out.writeFieldName("document");
-                out.writeRawValue(bare ? Json.text(document.content()) : Json.masked(document.content()));
-            }
-        });
+    /** Why this member takes no part any more, or null. */
+    String ended() {
+        return ended;
     }
 
-    private String holds() {
-        return Json.object(out -> {
-            out.writeArrayFieldStart("holds");
-            for (Map.Entry<Change.Holding, Ledger.Held> hold : replica.ledger().holds().entrySet()) {
-                out.writeStartObject();
-                out.writeStringField("kind", hold.getKey().kind() == Change.Kind.NODE ? "node" : "pooler");
-                out.writeStringField("name", hold.getKey().name());
-                out.writeStringField("why", hold.getValue().why());
-                out.writeNumberField("at_ms", hold.getValue().atMicros() / 1000);
-                out.writeEndObject();
-            }
-            out.writeEndArray();
-        });
+    Founding founding() {
+        return founding;
     }
 
-    private String members(RaftNodeReport report) {
-        return Json.object(out -> members(out, report));
+    Identity leader() {
+        return leader;
     }
 
-    private void members(JsonGenerator out, RaftNodeReport report) throws IOException {
-        Membership.View view = view(report);
-        Set<Identity> all = new TreeSet<>(view.voting());
-        all.addAll(view.learning());
-        all.addAll(view.strangers());
-        out.writeArrayFieldStart("members");
-        for (Identity one : all) {
-            out.writeStartObject();
-            out.writeStringField("name", one.name());
-            out.writeStringField("disk", one.disk());
-            out.writeStringField("part", view.voting().contains(one) ? "votes"
-                    : view.learning().contains(one) ? "learns" : "none");
-            out.writeBooleanField("leads", one.equals(leader));
-            out.writeBooleanField("in_reach", view.inReach().contains(one));
-            out.writeEndObject();
-        }
-        out.writeEndArray();
+    Peers peers() {
+        return peers;
     }
 
-    private Membership.View view(RaftNodeReport report) {
-        Set<Identity> connected = peers.connected();
-        Set<Identity> strangers = new TreeSet<>(connected);
-        Membership.View view = Replica.view(report, strangers, connected);
-        strangers.removeAll(view.voting());
-        strangers.removeAll(view.learning());
-        return view;
+    Pooler pooler() {
+        return pooler;
     }
 
-    private interface Told {
-        void done(Messages.Code code, String text);
+    Adoption adoption() {
+        return adoption;
     }
 
-    /** One step after another until the group has the member, or not. */
-    private void change(Membership.Wish wish, long until, Told then) {
-        replica.report((fate, report) -> {
-            if (fate != Replica.Fate.DONE) {
-                then.done(code(fate), words(fate));
-                return;
-            } else if (!Replica.leads(report)) {
-                then.done(Messages.Code.AGAIN, "the leader changes");
-                return;
-            }
-            Membership.Step next = Membership.next(wish, view(report));
-            if (next instanceof Membership.Step.Done) {
-                forgetPlace(wish);
-                then.done(Messages.Code.OK, members(report));
-            } else if (next instanceof Membership.Step.Refused refused) {
-                then.done(Messages.Code.REFUSED, refused.why());
-            } else if (loop.now() > until) {
-                then.done(Messages.Code.AGAIN, next instanceof Membership.Step.Wait wait ? wait.what()
-                        : "it takes longer; ask again to go on");
-            } else if (next instanceof Membership.Step.Wait) {
-                loop.after(STEP, () -> change(wish, until, then));
-            } else {
-                Log.info("store: %s", next);
-                replica.step(next, report, (stepFate, ok) -> {
-                    if (next instanceof Membership.Step.HandOver) {
-                        then.done(Messages.Code.AGAIN, "another member leads now; ask again to go on");
-                    } else {
-                        // Whether it was taken shows in what the group looks like next.
-                        loop.after(STEP, () -> change(wish, until, then));
-                    }
-                });
-            }
-        });
+    OperatorConfig.Store config() {
+        return config;
     }
 
-    private void forgetPlace(Membership.Wish wish) {
-        if (!wish.in() && replica.ledger().places().containsKey(wish.name())) {
-            replica.propose(new Change.Place(wish.name(), ""), (fate, outcome) -> { });
-        }
+    SegmentedLog log() {
+        return log;
     }
 
-    private void status(Consumer<String> then) {
-        if (replica == null || ended != null) {
-            then.accept(Json.object(out -> status(out, null)));
-        } else {
-            replica.report((fate, report) -> then.accept(Json.object(out -> status(out, report))));
-        }
-    }
-
-    private void status(JsonGenerator out, RaftNodeReport report) throws IOException {
-        Ledger ledger = replica == null ? warm : replica.ledger();
-        Ledger.Document running = adoption.running();
-        out.writeStringField("cluster", config.cluster());
-        out.writeStringField("name", config.name());
-        out.writeStringField("disk", log.word().who().disk());
-        out.writeStringField("phase", log.word().phase().name().toLowerCase(java.util.Locale.ROOT));
-        out.writeStringField("leader", leader == null ? "" : leader.name());
-        out.writeBooleanField("leads", leading);
-        out.writeBooleanField("cut_off", adoption.cutOff());
-        out.writeStringField("acting", ended != null ? "takes no part any more: " + ended + "; " + adoption.acting()
-                : log.word().phase() == Founding.Phase.ALONE || log.word().phase() == Founding.Phase.BOUND
-                ? "the group is not founded yet: " + founding.wanting() : adoption.acting());
-        out.writeNumberField("revision", running == null ? 0 : running.revision());
-        out.writeStringField("digest", running == null ? "" : running.digest());
-        out.writeNumberField("adopted_change", running == null ? 0 : running.index());
-        out.writeNumberField("applied_change", ledger.applied());
-        out.writeNumberField("sessions", ledger.sessionCount());
-        out.writeNumberField("holds", ledger.holds().size());
-        out.writeNumberField("listed_nodes", ledger.listing().nodes().size());
-        out.writeNumberField("history_bytes", log.historyBytes());
-        out.writeNumberField("snapshot_bytes", log.snapshotBytes());
-        if (report != null) {
-            out.writeNumberField("term", report.getTerm().getTerm());
-            out.writeNumberField("committed_change", report.getLog().getCommitIndex());
-            out.writeNumberField("last_change", report.getLog().getLastLogOrSnapshotIndex());
-            members(out, report);
-        }
+    Loop loop() {
+        return loop;
     }
 }
--- a/daemon/src/main/java/lupinvalve/replication/OldStore.java
+++ b/daemon/src/main/java/lupinvalve/replication/OldStore.java
@@ -17,10 +17,11 @@
  * What the earlier store left in a folder, {@code store.jsonl}: one entry a line, and a checksum. Taken over once, by a
  * group that has no configuration yet; the file then has another name.
  */
-final class OldStore {
+final class OldStore implements TakeOver.Left {
     private static final String FILE = "store.jsonl", DONE = "store.jsonl.imported", END = "{\"crc\":", SESSION = "session/";
     private final Path folder;
     private byte[] document;
+    private boolean reported;
     private final Map<String, Long> sessions = new HashMap<>();
 
     private OldStore(Path folder) {
@@ -78,21 +79,28 @@
         }
     }
 
-    /** The configuration, or null. */
-    byte[] document() {
+    @Override
+    public byte[] document() {
         return document;
     }
 
-    Map<String, Long> sessions() {
+    @Override
+    public Map<String, Long> sessions() {
         return sessions;
     }
 
-    void done() {
+    @Override
+    public boolean done() {
         try {
             Files.move(folder.resolve(FILE), folder.resolve(DONE), StandardCopyOption.REPLACE_EXISTING);
             Log.info("store: what the earlier store left has been taken over; its file is now %s", DONE);
+            return true;
         } catch (IOException e) {
-            Log.warn("store: %s", e.getMessage());
+            if (!reported) {
+                Log.warn("store: %s", e.getMessage());
+                reported = true;
+            }
+            return false;
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/Questions.java
@@ -0,0 +1,284 @@
+package lupinvalve.replication;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.microraft.report.RaftNodeReport;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Encoding;
+import lupinvalve.ledger.Founding;
+import lupinvalve.ledger.Identity;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.ledger.Membership;
+import lupinvalve.log.Log;
+
+/** What operators and other members ask of this one, and what they are told. On the group's thread. */
+final class Questions {
+    /** How long a call that another member forwarded may take, a change of members in all, and the pause between its steps. */
+    static final long FORWARDED = 3_000_000;
+    private static final long MEMBERS_WITHIN = 20_000_000, STEP = 50_000;
+    private final Group group;
+
+    Questions(Group group) {
+        this.group = group;
+    }
+
+    private static String argument(Messages.Call call, int at) throws IOException {
+        if (call.arguments().size() <= at) {
+            throw new IOException(call.name() + " lacks an argument");
+        }
+        return new String(call.arguments().get(at), StandardCharsets.UTF_8);
+    }
+
+    void call(Messages.Call call, Consumer<Messages.Answer> answer) {
+        try {
+            if (call.name().equals("status")) {
+                status(text -> answer.accept(new Messages.Answer(call.id(), Messages.Code.OK, text)));
+            } else if (group.replica() == null || group.ended() != null) {
+                answer.accept(new Messages.Answer(call.id(), Messages.Code.AGAIN, group.ended() != null
+                        ? "this member takes no part any more: " + group.ended() : "the group is not founded yet: "
+                                + group.founding().wanting()));
+            } else if (group.replica().leads()) {
+                lead(call, answer);
+            } else if (group.leader() == null || call.name().startsWith(">")) {
+                answer.accept(new Messages.Answer(call.id(), Messages.Code.AGAIN, "no majority is in touch: no leader"));
+            } else {
+                group.peers().call(group.leader(), call.name().equals("propose") ? "propose" : ">" + call.name(), call.arguments(),
+                        call.name().equals("add") || call.name().equals("remove") ? MEMBERS_WITHIN + FORWARDED : FORWARDED,
+                        got -> answer.accept(new Messages.Answer(call.id(), got.code(), got.text())));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, String.valueOf(e.getMessage())));
+        }
+    }
+
+    private void lead(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
+        String name = call.name().startsWith(">") ? call.name().substring(1) : call.name();
+        switch (name) {
+            case "propose" -> group.replica().propose(Encoding.read(call.arguments().get(0)), told(call, answer,
+                    outcome -> "{}"));
+            case "get" -> group.replica().upToDate(told(call, answer, ok -> document(call)));
+            case "put" -> put(call, answer);
+            case "hold" -> group.replica().propose(new Change.Hold(holding(call), argument(call, 2), group.loop().now()), taken(call, answer));
+            case "release" -> group.replica().propose(new Change.Release(holding(call)), taken(call, answer));
+            case "holds" -> group.replica().upToDate(told(call, answer, ok -> holds()));
+            case "members" -> group.replica().report(told(call, answer, this::members));
+            case "add", "remove" -> change(new Membership.Wish(name.equals("add"), argument(call, 0)),
+                    group.loop().now() + MEMBERS_WITHIN, (code, text) -> answer.accept(new Messages.Answer(call.id(), code, text)));
+            case "snapshot" -> group.replica().snapshot(told(call, answer, report -> Json.object(out -> {
+                out.writeNumberField("snapshot_index", report.getLog().getLastSnapshotIndex());
+                out.writeNumberField("snapshot_bytes", group.log().snapshotBytes());
+            })));
+            default -> answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, "no such call: " + name));
+        }
+    }
+
+    private static Change.Holding holding(Messages.Call call) throws IOException {
+        String kind = argument(call, 0);
+        if (!kind.equals("node") && !kind.equals("pooler")) {
+            throw new IOException("what is held is a node or a group.pooler(), not a " + kind);
+        }
+        return new Change.Holding(kind.equals("node") ? Change.Kind.NODE : Change.Kind.POOLER, argument(call, 1));
+    }
+
+    private static Messages.Code code(Replica.Fate fate) {
+        return switch (fate) {
+            case DONE -> Messages.Code.OK;
+            case ELSEWHERE -> Messages.Code.AGAIN;
+            case REFUSED -> Messages.Code.REFUSED;
+            default -> Messages.Code.UNKNOWN;
+        };
+    }
+
+    private static String words(Replica.Fate fate) {
+        return fate == Replica.Fate.ELSEWHERE ? "the leader changes or has too much to do: nothing has happened"
+                : fate == Replica.Fate.REFUSED ? "the group can't do that now" : "it may have happened: look before asking again";
+    }
+
+    private <T> Replica.Then<T> told(Messages.Call call, Consumer<Messages.Answer> answer, Function<T, String> text) {
+        return (fate, result) -> answer.accept(new Messages.Answer(call.id(), code(fate),
+                fate == Replica.Fate.DONE ? text.apply(result) : words(fate)));
+    }
+
+    private Replica.Then<Ledger.Outcome> taken(Messages.Call call, Consumer<Messages.Answer> answer) {
+        return (fate, outcome) -> {
+            Messages.Code code = code(fate);
+            String text = fate == Replica.Fate.DONE ? "{}" : words(fate);
+            if (fate == Replica.Fate.DONE && outcome.result() == Ledger.Result.CONFLICT) {
+                code = Messages.Code.CONFLICT;
+                text = "revision " + outcome.revision() + " holds by now";
+            } else if (fate == Replica.Fate.DONE && outcome.result() == Ledger.Result.TOO_MUCH) {
+                code = Messages.Code.REFUSED;
+                text = "too long, or too many of them";
+            } else if (fate == Replica.Fate.DONE) {
+                text = Json.object(out -> {
+                    out.writeBooleanField("changed", outcome.result() == Ledger.Result.DONE);
+                    out.writeNumberField("revision", outcome.revision());
+                });
+            }
+            answer.accept(new Messages.Answer(call.id(), code, text));
+        };
+    }
+
+    private void put(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
+        long expected = Long.parseLong(argument(call, 0));
+        byte[] document = call.arguments().get(1);
+        // Checked whole before it is proposed: what a majority accepts is a configuration that can be acted on.
+        String objection = group.pooler().objection(document);
+        if (objection != null) {
+            answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, objection));
+            return;
+        }
+        group.replica().propose(new Change.Put(expected, document), taken(call, answer));
+    }
+
+    private String document(Messages.Call call) {
+        Ledger.Document document = group.replica().ledger().document();
+        boolean bare = !call.arguments().isEmpty() && call.arguments().get(0).length > 0;
+        return Json.object(out -> {
+            out.writeNumberField("revision", group.replica().ledger().revision());
+            if (document != null) {
+                out.writeNumberField("change", document.index());
+                out.writeStringField("digest", document.digest());
+                out.writeFieldName("document");
+                out.writeRawValue(bare ? Json.text(document.content()) : Json.masked(document.content()));
+            }
+        });
+    }
+
+    private String holds() {
+        return Json.object(out -> {
+            out.writeArrayFieldStart("holds");
+            for (Map.Entry<Change.Holding, Ledger.Held> hold : group.replica().ledger().holds().entrySet()) {
+                out.writeStartObject();
+                out.writeStringField("kind", hold.getKey().kind() == Change.Kind.NODE ? "node" : "pooler");
+                out.writeStringField("name", hold.getKey().name());
+                out.writeStringField("why", hold.getValue().why());
+                out.writeNumberField("at_ms", hold.getValue().atMicros() / 1000);
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        });
+    }
+
+    private String members(RaftNodeReport report) {
+        return Json.object(out -> members(out, report));
+    }
+
+    private void members(JsonGenerator out, RaftNodeReport report) throws IOException {
+        Membership.View view = view(report);
+        Set<Identity> all = new TreeSet<>(view.voting());
+        all.addAll(view.learning());
+        all.addAll(view.strangers());
+        out.writeArrayFieldStart("members");
+        for (Identity one : all) {
+            out.writeStartObject();
+            out.writeStringField("name", one.name());
+            out.writeStringField("disk", one.disk());
+            out.writeStringField("part", view.voting().contains(one) ? "votes"
+                    : view.learning().contains(one) ? "learns" : "none");
+            out.writeBooleanField("leads", one.equals(group.leader()));
+            out.writeBooleanField("in_reach", view.inReach().contains(one));
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+    }
+
+    private Membership.View view(RaftNodeReport report) {
+        Set<Identity> connected = group.peers().connected();
+        Set<Identity> strangers = new TreeSet<>(connected);
+        Membership.View view = Replica.view(report, strangers, connected);
+        strangers.removeAll(view.voting());
+        strangers.removeAll(view.learning());
+        return view;
+    }
+
+    private interface Told {
+        void done(Messages.Code code, String text);
+    }
+
+    /** One step after another until the group has the member, or not. */
+    private void change(Membership.Wish wish, long until, Told then) {
+        group.replica().report((fate, report) -> {
+            if (fate != Replica.Fate.DONE) {
+                then.done(code(fate), words(fate));
+                return;
+            } else if (!Replica.leads(report)) {
+                then.done(Messages.Code.AGAIN, "the leader changes");
+                return;
+            }
+            Membership.Step next = Membership.next(wish, view(report));
+            if (next instanceof Membership.Step.Done) {
+                forgetPlace(wish);
+                then.done(Messages.Code.OK, members(report));
+            } else if (next instanceof Membership.Step.Refused refused) {
+                then.done(Messages.Code.REFUSED, refused.why());
+            } else if (group.loop().now() > until) {
+                then.done(Messages.Code.AGAIN, next instanceof Membership.Step.Wait wait ? wait.what()
+                        : "it takes longer; ask again to go on");
+            } else if (next instanceof Membership.Step.Wait) {
+                group.loop().after(STEP, () -> change(wish, until, then));
+            } else {
+                Log.info("store: %s", next);
+                group.replica().step(next, report, (stepFate, ok) -> {
+                    if (next instanceof Membership.Step.HandOver) {
+                        then.done(Messages.Code.AGAIN, "another member leads now; ask again to go on");
+                    } else {
+                        // Whether it was taken shows in what the group looks like next.
+                        group.loop().after(STEP, () -> change(wish, until, then));
+                    }
+                });
+            }
+        });
+    }
+
+    private void forgetPlace(Membership.Wish wish) {
+        if (!wish.in() && group.replica().ledger().places().containsKey(wish.name())) {
+            group.replica().propose(new Change.Place(wish.name(), ""), (fate, outcome) -> { });
+        }
+    }
+
+    private void status(Consumer<String> then) {
+        if (group.replica() == null || group.ended() != null) {
+            then.accept(Json.object(out -> status(out, null)));
+        } else {
+            group.replica().report((fate, report) -> then.accept(Json.object(out -> status(out, report))));
+        }
+    }
+
+    private void status(JsonGenerator out, RaftNodeReport report) throws IOException {
+        Ledger ledger = group.replica() == null ? group.warm() : group.replica().ledger();
+        Ledger.Document running = group.adoption().running();
+        out.writeStringField("cluster", group.config().cluster());
+        out.writeStringField("name", group.config().name());
+        out.writeStringField("disk", group.log().word().who().disk());
+        out.writeStringField("phase", group.log().word().phase().name().toLowerCase(java.util.Locale.ROOT));
+        out.writeStringField("leader", group.leader() == null ? "" : group.leader().name());
+        out.writeBooleanField("leads", group.leads());
+        out.writeBooleanField("cut_off", group.adoption().cutOff());
+        out.writeStringField("acting", group.ended() != null ? "takes no part any more: " + group.ended() + "; " + group.adoption().acting()
+                : group.log().word().phase() == Founding.Phase.ALONE || group.log().word().phase() == Founding.Phase.BOUND
+                ? "the group is not founded yet: " + group.founding().wanting() : group.adoption().acting());
+        out.writeNumberField("revision", running == null ? 0 : running.revision());
+        out.writeStringField("digest", running == null ? "" : running.digest());
+        out.writeNumberField("adopted_change", running == null ? 0 : running.index());
+        out.writeNumberField("applied_change", ledger.applied());
+        out.writeNumberField("sessions", ledger.sessionCount());
+        out.writeNumberField("holds", ledger.holds().size());
+        out.writeNumberField("listed_nodes", ledger.listing().nodes().size());
+        out.writeNumberField("history_bytes", group.log().historyBytes());
+        out.writeNumberField("snapshot_bytes", group.log().snapshotBytes());
+        if (report != null) {
+            out.writeNumberField("term", report.getTerm().getTerm());
+            out.writeNumberField("committed_change", report.getLog().getCommitIndex());
+            out.writeNumberField("last_change", report.getLog().getLastLogOrSnapshotIndex());
+            members(out, report);
+        }
+    }
+}
--- a/daemon/src/main/java/lupinvalve/replication/Replica.java
+++ b/daemon/src/main/java/lupinvalve/replication/Replica.java
@@ -12,8 +12,8 @@
 import io.microraft.exception.LaggingCommitIndexException;
 import io.microraft.exception.MismatchingRaftGroupMembersCommitIndexException;
 import io.microraft.exception.NotLeaderException;
+import io.microraft.impl.RaftNodeImpl;
 import io.microraft.model.log.LogEntry;
-import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.report.RaftNodeReport;
@@ -45,13 +45,16 @@
  */
 final class Replica {
     /** The group's name for the library; who is connected is of one cluster. */
-    private static final Object GROUP = "ledger";
+    static final Object GROUP = "ledger";
     private static final int ENTRIES_AT_ONCE = 512, PENDING_MOST = 20_000;
     /** A bound on the library's own table only: history is cut by its bytes. */
     private static final int CHANGES_MOST = 100_000;
     /** In the library's time, which runs faster by {@link Pace#FACTOR}. */
     private static final int HEARTBEAT_SECONDS = 1, SILENCE_SECONDS = 6, ELECTION_MILLIS = 3000;
 
+    /** Why a member takes no part any more whose disk may become good again. */
+    static final String DISK = "the disk fails";
+
     /** Carries messages to other members; what can't be carried is dropped. */
     interface Sending {
         void send(Identity to, byte[] message);
@@ -94,6 +97,7 @@
     private final Ledger ledger = new Ledger();
     private final Identity self;
     private final RaftNode node;
+    private final Mends mends;
     private boolean snapshotting, ended;
     private long keptBytes;
 
@@ -120,7 +124,8 @@
             builder.setLocalEndpoint(new Endpoint(self)).setInitialGroupMembers(Endpoint.all(founders));
         }
         node = builder.build();
-        log.onFailure(() -> schedule.post(() -> end("the disk fails")));
+        mends = new Mends((RaftNodeImpl) node, pace, () -> ended);
+        log.onFailure(() -> schedule.post(() -> end(DISK)));
     }
 
     void start() {
@@ -237,36 +242,8 @@
 
     void handle(byte[] message) throws IOException {
         if (!ended) {
-            RaftMessage read = Models.read(GROUP, message);
-            node.handle(read instanceof AppendEntriesRequest request ? within(request) : read);
-        }
-    }
-
-    /**
-     * Guards against a fault of the library (0.7): what is accepted may be told up to the end of the entries sent, and it
-     * takes that for its own new mark even where it stands further already, as when a new leader feels its way back.
-     * With the mark told cut to those entries it compares rightly; nothing else reads it.
-     *
-     * <p>And against another one: where a restart found changes behind a snapshot, the library looks for the change before
-     * those sent among them, does not find the one that the snapshot ends with, and turns all down for good (its
-     * {@code verifyLastLogEntry}). The first change sent is the one that is first here, if their terms are the same; told that
-     * those sent come behind it, the library finds it.
-     */
-    private AppendEntriesRequest within(AppendEntriesRequest m) {
-        long end = m.getPreviousLogIndex() + m.getLogEntries().size();
-        LogEntry first = m.getLogEntries().isEmpty() ? null : m.getLogEntries().get(0);
-        boolean held = first != null && log.isBehindSnapshot(first.getIndex(), first.getTerm());
-        if (m.getCommitIndex() <= end && !held) {
-            return m;
+            mends.hand(Models.read(GROUP, message));
         }
-        var cut = Models.FACTORY.createAppendEntriesRequestBuilder();
-        cut.setGroupId(GROUP).setSender(m.getSender()).setTerm(m.getTerm());
-        return cut.setPreviousLogTerm(held ? first.getTerm() : m.getPreviousLogTerm())
-                .setPreviousLogIndex(held ? first.getIndex() : m.getPreviousLogIndex())
-                .setCommitIndex(Math.min(end, m.getCommitIndex()))
-                .setLogEntries(held ? m.getLogEntries().subList(1, m.getLogEntries().size()) : m.getLogEntries())
-                .setQuerySequenceNumber(m.getQuerySequenceNumber())
-                .setFlowControlSequenceNumber(m.getFlowControlSequenceNumber()).build();
     }
 
     boolean leads() {
--- a/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
+++ b/daemon/src/main/java/lupinvalve/replication/SegmentedLog.java
@@ -45,8 +45,6 @@
     private long number, highest, size, sinceSnapshot, committed;
     private Disk.Out segment, snapshot;
     private long snapshotIndex;
-    /** The first change that the start found behind a snapshot, until another snapshot or a cut. */
-    private LogEntry behind;
     /** Which pieces of the snapshot that is being written are there, and whether those are all. */
     private final Set<Integer> pieces = new TreeSet<>();
     private boolean snapshotWhole;
@@ -94,6 +92,17 @@
         return log;
     }
 
+    /**
+     * Opens a folder again after its disk has failed. What a force that failed left in the system's memory may not be on the
+     * disk and yet be read, so each file is put there anew first.
+     */
+    static SegmentedLog reopen(Disk disk, String cluster, String name) throws IOException {
+        for (String file : disk.names()) {
+            disk.replace(file, disk.read(file));
+        }
+        return open(disk, cluster, name, "");
+    }
+
     /** Reads a stopped member's folder without changing it; gives what it holds. */
     static SegmentedLog inspect(Disk disk) throws IOException {
         SegmentedLog log = new SegmentedLog(disk, null);
@@ -194,7 +203,6 @@
             throw fault;
         }
         entries.headMap(base, true).clear();
-        behind = base > 0 && !entries.isEmpty() ? entries.firstEntry().getValue() : null;
         for (long[] stat : closed.values()) {
             sinceSnapshot += stat[1];
         }
@@ -288,11 +296,6 @@
         return entries.isEmpty() ? restored == null ? 0 : restored.getIndex() : entries.lastKey();
     }
 
-    /** Whether the start found this change as the first one behind its snapshot, and it still stands. */
-    boolean isBehindSnapshot(long index, int term) {
-        return behind != null && behind.getIndex() == index && behind.getTerm() == term;
-    }
-
     int termNumber() {
         return term == null ? 0 : term.getTerm();
     }
@@ -387,7 +390,6 @@
 
     @Override
     public void truncateLogEntriesFrom(long index) throws IOException {
-        behind = behind != null && behind.getIndex() >= index ? null : behind;
         add(out -> out.number(CUT_FROM).number(index));
     }
 
@@ -468,7 +470,6 @@
                 // What the snapshot makes superfluous is to lie in segments that can go whole.
                 roll();
                 if (snapshotWhole) {
-                    behind = null;
                     dropSnapshotsBefore(snapshotIndex);
                 }
             } else {
--- /dev/null
+++ b/daemon/src/main/java/lupinvalve/replication/TakeOver.java
@@ -0,0 +1,49 @@
+package lupinvalve.replication;
+
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import lupinvalve.ledger.Change;
+
+/** Brings what an earlier store left at this member into the group once the member leads. Without I/O of its own. */
+final class TakeOver {
+    /** What was left. */
+    interface Left {
+        /** The configuration, or null. */
+        byte[] document();
+
+        /** Sessions' last commits. */
+        Map<String, Long> sessions();
+
+        /** It has been taken over and is not to be looked at again; whether that could be noted. */
+        boolean done();
+    }
+
+    private Left left;
+
+    /** @param left null where nothing was */
+    TakeOver(Left left) {
+        this.left = left;
+    }
+
+    /**
+     * Called while this member leads: proposes what was left where the group has no configuration yet. Where it has one, that
+     * one stays, and what was left is done with.
+     *
+     * @param fits whether a document can be a configuration
+     */
+    void lead(Replica replica, Predicate<byte[]> fits, BiConsumer<String, Long> commits) {
+        Left what = left;
+        left = null;
+        if (what == null) {
+            return;
+        }
+        what.sessions().forEach(commits);
+        if (what.document() == null || !fits.test(what.document())) {
+            left = what.done() ? null : what;
+            return;
+        }
+        replica.propose(new Change.Put(0, what.document()),
+                (fate, outcome) -> left = fate == Replica.Fate.DONE && what.done() ? null : what);
+    }
+}
--- a/faults/src/main/java/lupinvalve/faults/Points.java
+++ b/faults/src/main/java/lupinvalve/faults/Points.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Numbers the steps at which a process meets the world, and says which fault, if any, comes at one. It counts only while it
@@ -69,6 +71,7 @@
     private final Map<Integer, Fault> plan = new TreeMap<>();
     private final List<Kind> met = new ArrayList<>();
     private boolean on;
+    private Consumer<String> trace;
 
     /** With faults at the points named. */
     public Points(At... faults) {
@@ -96,6 +99,18 @@
         return fault;
     }
 
+    /** Hears what happens at each step from now on. */
+    public void trace(Consumer<String> to) {
+        trace = to;
+    }
+
+    /** Says what happens, where anybody listens; told only then. */
+    public void note(Supplier<String> what) {
+        if (trace != null) {
+            trace.accept((on ? met.size() + " " : "- ") + what.get());
+        }
+    }
+
     /** The kinds of the points met, in order. */
     public List<Kind> met() {
         return Collections.unmodifiableList(met);
--- /dev/null
+++ b/faults/src/main/java/lupinvalve/replication/CountedDisk.java
@@ -0,0 +1,131 @@
+package lupinvalve.replication;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.Function;
+import lupinvalve.faults.Points.Fault;
+import lupinvalve.faults.Points.Kind;
+
+/** A process's way to its disk, on which each call is a numbered point. */
+final class CountedDisk implements Disk {
+    /** The process whose disk it is. */
+    interface Life {
+        /** Whether it has ended: nothing that it still does reaches the disk. */
+        boolean over();
+
+        /** Ends it. */
+        void end(Fault fault);
+    }
+
+    private interface Step<T> {
+        T go() throws IOException;
+    }
+
+    private final Disk disk;
+    private final Function<Kind, Fault> points;
+    private final Life life;
+
+    /** @param points gives the fault that comes at the next point, or null */
+    CountedDisk(Disk disk, Function<Kind, Fault> points, Life life) {
+        this.disk = disk;
+        this.points = points;
+        this.life = life;
+    }
+
+    private static IOException gone() {
+        return new IOException("this process is gone");
+    }
+
+    private <T> T step(Kind kind, Step<T> step, Step<T> torn) throws IOException {
+        if (life.over()) {
+            throw gone();
+        }
+        Fault fault = points.apply(kind);
+        if (fault == null) {
+            return step.go();
+        }
+        if (fault == Fault.FAIL) {
+            throw new IOException("Input/output error");
+        }
+        if (fault == Fault.TORN) {
+            torn.go();
+        } else if (fault == Fault.DIE_AFTER) {
+            step.go();
+        }
+        life.end(fault);
+        throw gone();
+    }
+
+    private <T> T step(Kind kind, Step<T> step) throws IOException {
+        return step(kind, step, () -> null);
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        return step(Kind.READ, disk::names);
+    }
+
+    @Override
+    public byte[] read(String name) throws IOException {
+        return step(Kind.READ, () -> disk.read(name));
+    }
+
+    @Override
+    public Out create(String name) throws IOException {
+        Out out = step(Kind.CREATE, () -> disk.create(name));
+        return new Out() {
+            @Override
+            public void write(byte[] bytes) throws IOException {
+                step(Kind.WRITE, () -> whole(bytes), () -> whole(Arrays.copyOf(bytes, bytes.length / 2)));
+            }
+
+            private Void whole(byte[] bytes) throws IOException {
+                out.write(bytes);
+                return null;
+            }
+
+            @Override
+            public void force() throws IOException {
+                step(Kind.FORCE, () -> {
+                    out.force();
+                    return null;
+                });
+            }
+
+            @Override
+            public void close() throws IOException {
+                out.close();
+            }
+        };
+    }
+
+    @Override
+    public void replace(String name, byte[] content) throws IOException {
+        step(Kind.REPLACE, () -> {
+            disk.replace(name, content);
+            return null;
+        });
+    }
+
+    @Override
+    public void truncate(String name, long size) throws IOException {
+        step(Kind.CUT, () -> {
+            disk.truncate(name, size);
+            return null;
+        });
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        step(Kind.DELETE, () -> {
+            disk.delete(name);
+            return null;
+        });
+    }
+
+    @Override
+    public void close() throws IOException {
+        disk.close();
+    }
+}
--- a/faults/src/main/java/lupinvalve/replication/Scenario.java
+++ b/faults/src/main/java/lupinvalve/replication/Scenario.java
@@ -1,6 +1,7 @@
 package lupinvalve.replication;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicReference;
@@ -42,6 +43,27 @@
             sim.run(500_000);
         }
     },
+    /** The next leader dies as well, once all have taken it in: a majority that stands must find another by itself. */
+    SECOND_LEADER(3, 0) {
+        @Override
+        void play(Simulation sim, Simulation.Clients clients) throws IOException {
+            LEADER_CHANGE.play(sim, clients);
+            Simulation.Member next = sim.leader();
+            if (next != null && next.runs()) {
+                // The last change reaches one of the others alone: nobody but that one can lead then.
+                Simulation.Member spared = sim.members.stream().filter(m -> m != next && m.runs())
+                        .min(java.util.Comparator.comparingInt(m -> m.life)).orElse(next);
+                sim.each(m -> sim.cut[next.number][m.number] = m != spared);
+                put(sim, clients, 1);
+                next.kill();
+                sim.heal();
+            }
+            sim.standing(5_000_000);
+            if (next != null && next.replica == null) {
+                begin(next);
+            }
+        }
+    },
     /** A member that was away comes back to what went on without it. */
     CATCH_UP(3, 0) {
         @Override
@@ -111,6 +133,47 @@
             put(sim, clients, 1);
         }
     },
+    /** What earlier stores left at the members is taken over by the first that leads, and by nobody after it. */
+    TAKE_OVER(3, 0) {
+        @Override
+        void prepare(Simulation sim, Simulation.Clients clients) {
+            sim.each(m -> m.left = Simulation.document("{\"left\":" + m.number + "}"));
+        }
+
+        @Override
+        void play(Simulation sim, Simulation.Clients clients) throws IOException {
+            // Each reads at its start what was left.
+            sim.each(Simulation.Member::kill);
+            sim.each(Scenario::begin);
+            for (int i = 0; i < 12; i++) {
+                sim.run(100_000);
+                sim.each(Simulation.Member::takesOver);
+            }
+            put(sim, clients, 1);
+        }
+
+        @Override
+        boolean settle(Simulation sim) {
+            boolean done = sim.until(() -> {
+                sim.each(Simulation.Member::takesOver);
+                return sim.leader() != null && sim.leader().left == null;
+            });
+            Set<String> left = new TreeSet<>();
+            sim.each(m -> left.add(lupinvalve.ledger.Ledger.digest(Simulation.document("{\"left\":" + m.number + "}"))));
+            List<String> taken = sim.history.values().stream().filter(left::contains).toList();
+            if (taken.size() > 1 || taken.size() == 1 && !taken.get(0).equals(sim.history.firstEntry().getValue())) {
+                sim.faults.add("what was left was taken over " + taken.size() + " times, or late");
+            }
+            return done;
+        }
+    },
+    /** An upgrade's two processes and the orders that they share; no group. */
+    HAND_OFF(0, 0) {
+        @Override
+        void play(Simulation sim, Simulation.Clients clients) {
+            throw new UnsupportedOperationException("it is played by HandOff");
+        }
+    },
     /** All members stop at once and start again. */
     RESTART(3, 0) {
         @Override
--- a/faults/src/main/java/lupinvalve/replication/Simulation.java
+++ b/faults/src/main/java/lupinvalve/replication/Simulation.java
@@ -43,6 +43,9 @@
         int life;
         long pausedUntil;
         final TreeMap<Long, String> adopted = new TreeMap<>();
+        /** What an earlier store left at this member, until that is taken over. */
+        byte[] left;
+        private TakeOver takeOver;
 
         Member(int number) {
             this.number = number;
@@ -109,108 +112,40 @@
         }
 
         /** This life's way to the disk: after its end nothing it does reaches it. */
-        private final class Access implements Disk {
-            private final int mine = life;
-
-            private interface Step<T> {
-                T go() throws IOException;
-            }
-
-            private <T> T step(Kind kind, Step<T> step, Step<T> torn) throws IOException {
-                if (mine != life) {
-                    throw new IOException("this process is gone");
-                }
-                Fault fault = points.next(kind);
-                if (fault == null) {
-                    return step.go();
-                }
-                if (fault == Fault.FAIL) {
-                    throw new IOException("Input/output error");
-                }
-                if (fault == Fault.TORN) {
-                    torn.go();
-                } else if (fault == Fault.DIE_AFTER) {
-                    step.go();
+        private Disk access() {
+            int mine = life;
+            return new CountedDisk(disk, points::next, new CountedDisk.Life() {
+                @Override
+                public boolean over() {
+                    return mine != life;
                 }
-                die(fault);
-                throw new IOException("this process is gone");
-            }
-
-            private <T> T step(Kind kind, Step<T> step) throws IOException {
-                return step(kind, step, () -> null);
-            }
-
-            private Void done(Runnable work) {
-                work.run();
-                return null;
-            }
-
-            @Override
-            public List<String> names() throws IOException {
-                return step(Kind.READ, disk::names);
-            }
-
-            @Override
-            public byte[] read(String name) throws IOException {
-                return step(Kind.READ, () -> disk.read(name));
-            }
-
-            @Override
-            public Out create(String name) throws IOException {
-                Out out = step(Kind.CREATE, () -> disk.create(name));
-                return new Out() {
-                    @Override
-                    public void write(byte[] bytes) throws IOException {
-                        step(Kind.WRITE, () -> whole(bytes), () -> whole(Arrays.copyOf(bytes, bytes.length / 2)));
-                    }
-
-                    private Void whole(byte[] bytes) throws IOException {
-                        out.write(bytes);
-                        return null;
-                    }
-
-                    @Override
-                    public void force() throws IOException {
-                        step(Kind.FORCE, () -> {
-                            out.force();
-                            return null;
-                        });
-                    }
 
-                    @Override
-                    public void close() throws IOException {
-                        out.close();
-                    }
-                };
-            }
-
-            @Override
-            public void replace(String name, byte[] content) throws IOException {
-                step(Kind.REPLACE, () -> {
-                    disk.replace(name, content);
-                    return null;
-                });
-            }
+                @Override
+                public void end(Fault fault) {
+                    die(fault);
+                }
+            });
+        }
 
-            @Override
-            public void truncate(String name, long size) throws IOException {
-                step(Kind.CUT, () -> done(() -> disk.truncate(name, size)));
-            }
+        void start() throws IOException {
+            started = true;
+            begin(SegmentedLog.open(access(), "sim", identity.name(), identity.disk()));
+        }
 
-            @Override
-            public void delete(String name) throws IOException {
-                step(Kind.DELETE, () -> done(() -> disk.delete(name)));
+        /** Takes part again in the same life, as a member does whose disk is good again. */
+        private void revive() {
+            if (replica == null || !Replica.DISK.equals(stopped)) {
+                return;
             }
-
-            @Override
-            public void close() {
-                disk.close();
+            try {
+                begin(SegmentedLog.reopen(access(), "sim", identity.name()));
+            } catch (IOException e) {
+                new Life().after(REVIVE_MICROS, this::revive);
             }
         }
 
-        void start() throws IOException {
-            started = true;
-            SegmentedLog log = SegmentedLog.open(new Access(), "sim", identity.name(), identity.disk());
+        private void begin(SegmentedLog log) throws IOException {
+            takeOver = new TakeOver(left == null ? null : new Left());
             if (log.word().phase() == Founding.Phase.ALONE) {
                 boolean founder = founders.contains(identity);
                 log.keep(new Founding.Word(identity, founder ? Founding.Phase.FOUNDED : Founding.Phase.NEWCOMER, founders));
@@ -259,11 +194,48 @@
                 @Override
                 public void ended(String why) {
                     stopped = why;
+                    new Life().after(REVIVE_MICROS, Member.this::revive);
                 }
             });
             replica.start();
         }
 
+        private final class Left implements TakeOver.Left {
+            private final int mine = life;
+
+            @Override
+            public byte[] document() {
+                return left;
+            }
+
+            @Override
+            public java.util.Map<String, Long> sessions() {
+                return java.util.Map.of();
+            }
+
+            @Override
+            public boolean done() {
+                if (mine != life) {
+                    return false;
+                }
+                Fault fault = points.next(Kind.REPLACE);
+                if (fault == null || fault == Fault.DIE_AFTER) {
+                    left = null;
+                }
+                if (fault != null && fault.ends) {
+                    die(fault);
+                }
+                return left == null;
+            }
+        }
+
+        /** Takes over what was left here, as long as this member leads. */
+        void takesOver() {
+            if (runs() && replica.leads()) {
+                takeOver.lead(replica, document -> true, (session, position) -> { });
+            }
+        }
+
         private void adopt(Ledger.Document document) {
             String before = adopted.putIfAbsent(document.index(), document.digest());
             String agreed = history.putIfAbsent(document.index(), document.digest());
@@ -283,7 +255,8 @@
         }
     }
 
-    private static final long STOPPED_MICROS = 10_000_000, LATE_MICROS = 2_000_000;
+    private static final long STOPPED_MICROS = 10_000_000, LATE_MICROS = 2_000_000, REVIVE_MICROS = 500_000;
+    private static final int SAID = 400;
     final Points points;
     final TreeMap<Integer, Integer> leaders = new TreeMap<>();
     final Random random;
@@ -327,6 +300,7 @@
             return;
         }
         int life = to.life;
+        points.note(() -> now / 1000 + " ms: " + from.identity.name() + " to " + to.identity.name() + ": " + said(message));
         at(later + 200 + random.nextInt(3000), () -> {
             if (to.life == life && to.replica != null && !cut[from.number][to.number]) {
                 Fault fault = points.next(Kind.ARRIVE);
@@ -344,6 +318,15 @@
         });
     }
 
+    private static String said(byte[] message) {
+        try {
+            String text = String.valueOf(Models.read(Replica.GROUP, message));
+            return text.length() > SAID ? text.substring(0, SAID) : text;
+        } catch (IOException e) {
+            return e.getMessage();
+        }
+    }
+
     void run(long micros) {
         long end = now + micros;
         while (!events.isEmpty() && events.peek().at() <= end) {
@@ -366,6 +349,22 @@
         return holds.getAsBoolean();
     }
 
+    /**
+     * Lets time pass; where as many as a majority run and hear each other throughout, it must not end without a leader,
+     * whoever is down.
+     */
+    void standing(long micros) {
+        boolean stood = true;
+        long end = now + micros;
+        while (now < end) {
+            run(50_000);
+            stood &= 2 * members.stream().filter(m -> m.runs() && now >= m.pausedUntil).count() > founders.size();
+        }
+        if (stood && leader() == null) {
+            faults.add("no leader " + micros / 1000 + " ms after the last one's end, though a majority runs throughout");
+        }
+    }
+
     void heal() {
         for (boolean[] row : cut) {
             Arrays.fill(row, false);
--- a/faults/src/main/java/lupinvalve/replication/Sweep.java
+++ b/faults/src/main/java/lupinvalve/replication/Sweep.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import lupinvalve.faults.HandOff;
 import lupinvalve.faults.Points;
 import lupinvalve.faults.Points.At;
 
@@ -49,7 +50,18 @@
         return play(scenario, seed, planted, new Points(faults.toArray(At[]::new)), faults);
     }
 
+    /** The same, told step by step. */
+    public static Play play(Scenario scenario, long seed, Planted planted, List<At> faults, java.util.function.Consumer<String> trace) {
+        Points points = new Points(faults.toArray(At[]::new));
+        points.trace(trace);
+        return play(scenario, seed, planted, points, faults);
+    }
+
     private static Play play(Scenario scenario, long seed, Planted planted, Points points, List<At> faults) {
+        if (scenario == Scenario.HAND_OFF) {
+            List<String> found = HandOff.play(points);
+            return new Play(scenario, seed, faults, found, false, List.copyOf(points.met()));
+        }
         boolean hung = false;
         List<String> broken = new ArrayList<>();
         try {
--- /dev/null
+++ b/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
@@ -0,0 +1,99 @@
+package lupinvalve.lab;
+
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import lupinvalve.rig.Drill;
+import lupinvalve.rig.Scenario;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Real daemons before stand-in db nodes, with a proxy on every pair and faults from a scenario file or a seed. Exit code 1
+ * where a request had no final answer, a write ran twice, or members went apart.
+ */
+public final class ProcessDrill implements Lab.Command {
+    private static final int SHOWN = 20;
+
+    @Option(name = "--poolers", usage = "3 to 9")
+    private int poolers = 5;
+
+    @Option(name = "--groups", usage = "db sets of three db nodes each")
+    private int groups = 2;
+
+    @Option(name = "--seconds", usage = "how long faults go on")
+    private int seconds = 40;
+
+    @Option(name = "--seed", usage = "what faults come, and when")
+    private long seed = 7;
+
+    @Option(name = "--mix", usage = "what kinds are drawn: all, store, one-way, flapping")
+    private String mix = "all";
+
+    @Option(name = "--scenario", metaVar = "FILE", usage = "faults from a file in place of a seed")
+    private Path scenario;
+
+    @Option(name = "--timeline", metaVar = "FILE", usage = "writes what was done, as a scenario that replays it")
+    private Path timeline;
+
+    @Option(name = "--config", metaVar = "FILE", usage = "a platform's file to start from")
+    private Path config = Path.of("example/config.json");
+
+    @Option(name = "--lying-disks", usage = "a double: killed poolers lose the end of what their disks said was forced")
+    private boolean lying;
+
+    @Option(name = "--keep", usage = "keep the folder with the logs")
+    private boolean keep;
+
+    @Option(name = "--json", usage = "only the last line")
+    private boolean json;
+
+    private Scenario chosen() throws java.io.IOException {
+        if (scenario != null) {
+            return Scenario.read(scenario.toString(), Files.readString(scenario));
+        }
+        try {
+            Scenario.Mix drawn = Scenario.Mix.valueOf(mix.toUpperCase(Locale.ROOT).replace('-', '_'));
+            return Scenario.draw(drawn, poolers, groups, seconds * 1000L, seed);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("--mix " + mix + ", --poolers " + poolers + ", --groups " + groups + ": "
+                    + e.getMessage(), e);
+        }
+    }
+
+    @Override
+    public int run(PrintStream out) throws Exception {
+        return run(out, chosen(), seed, config, lying, keep, json, 0, timeline);
+    }
+
+    /**
+     * Runs a drill.
+     *
+     * @param leaderKillsMillis how long nothing but leaders are killed, in place of the scenario's steps; 0 for those
+     */
+    static int run(PrintStream out, Scenario scenario, long seed, Path config, boolean lying, boolean keep, boolean json,
+            long leaderKillsMillis, Path timeline) throws Exception {
+        PrintStream log = json ? new PrintStream(java.io.OutputStream.nullOutputStream()) : out;
+        Drill drill = new Drill(new Drill.Setting(scenario, config, seed, lying, log, java.util.List.of(), 0));
+        try {
+            drill.start();
+            if (leaderKillsMillis > 0) {
+                drill.killLeaders(leaderKillsMillis);
+            } else {
+                drill.play();
+            }
+            Drill.Result result = drill.judge(true);
+            result.findings().stream().limit(SHOWN).forEach(log::println);
+            if (timeline != null) {
+                Files.writeString(timeline, drill.course().write());
+            }
+            out.println(result.json());
+            return result.good() ? 0 : 1;
+        } finally {
+            drill.close(keep);
+            if (keep) {
+                out.println("kept: " + drill.folder());
+            }
+        }
+    }
+}
--- a/lab/src/main/java/lupinvalve/lab/StoreBench.java
+++ b/lab/src/main/java/lupinvalve/lab/StoreBench.java
@@ -21,6 +21,7 @@
 import lupinvalve.replication.Client;
 import lupinvalve.replication.Group;
 import lupinvalve.replication.Messages;
+import lupinvalve.rig.Scratch;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 import org.kohsuke.args4j.Option;
--- a/lab/src/main/java/lupinvalve/lab/StoreCost.java
+++ b/lab/src/main/java/lupinvalve/lab/StoreCost.java
@@ -19,6 +19,7 @@
 import lupinvalve.log.Log;
 import lupinvalve.rehearsal.ClientScript;
 import lupinvalve.rehearsal.StandIns;
+import lupinvalve.rig.Scratch;
 import org.HdrHistogram.Histogram;
 import org.kohsuke.args4j.Option;
 
--- /dev/null
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -0,0 +1,122 @@
+package lupinvalve.rig;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** One daemon through all its lives: the program as it ships, in a process of its own. Ends only what it started. */
+public final class DaemonProcess implements Closeable {
+    private static final int END_SECONDS = 10;
+    public final String name;
+    private final Path config, operator, said;
+    private final Consumer<String> lines;
+    /** The class that is started; the program's own unless a launcher stands before it. */
+    private final List<String> main = new ArrayList<>(List.of("lupinvalve.cli.Main"));
+    private Process process;
+    private boolean paused;
+    private volatile long startedAt;
+
+    /** @param lines hears each line of the log */
+    public DaemonProcess(String name, Path folder, Consumer<String> lines) {
+        this.name = name;
+        this.lines = lines;
+        config = folder.resolve(name + ".json");
+        operator = folder.resolve(name + ".operator.json");
+        said = folder.resolve(name + ".log");
+    }
+
+    /** What its next starts run: a class and its arguments before those of the daemon. */
+    public void main(List<String> command) {
+        main.clear();
+        main.addAll(command);
+    }
+
+    /** Writes the files that it starts from. */
+    public void files(String platform, String operators) throws IOException {
+        Files.writeString(config, platform);
+        Files.writeString(operator, operators);
+    }
+
+    public void start() throws IOException {
+        startedAt = System.nanoTime();
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-cp",
+                System.getProperty("java.class.path")));
+        command.addAll(main);
+        command.addAll(List.of("serve", "--config", config.toString(), "--operator", operator.toString()));
+        process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        Process mine = process;
+        Threads.start("log of " + name, () -> read(mine));
+    }
+
+    private void read(Process from) throws IOException {
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(from.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                Files.writeString(said, line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+                lines.accept(line);
+            }
+        }
+    }
+
+    /** When its last life began, by {@link System#nanoTime}. */
+    public long startedAt() {
+        return startedAt;
+    }
+
+    public boolean runs() {
+        return process != null && process.isAlive();
+    }
+
+    public boolean paused() {
+        return paused;
+    }
+
+    /** Stops the process where it stands, or lets it go on. */
+    public void pause(boolean now) throws IOException, InterruptedException {
+        if (runs() && paused != now) {
+            new ProcessBuilder("kill", now ? "-STOP" : "-CONT", Long.toString(process.pid())).start().waitFor();
+        }
+        paused = now && runs();
+    }
+
+    /** Lets a process go on that has stopped itself. */
+    public void wake() throws IOException, InterruptedException {
+        if (runs()) {
+            new ProcessBuilder("kill", "-CONT", Long.toString(process.pid())).start().waitFor();
+        }
+    }
+
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+        paused = false;
+    }
+
+    /** SIGTERM; what was wrong with its end, or null. */
+    public String end() throws InterruptedException {
+        if (!runs()) {
+            return name + " does not run";
+        }
+        process.destroy();
+        if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
+            process.destroyForcibly().waitFor();
+            return name + " did not end in " + END_SECONDS + " s";
+        }
+        return process.exitValue() == 0 ? null : name + " ended with " + process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/lupinvalve/rig/FaultProxy.java
@@ -0,0 +1,143 @@
+package lupinvalve.rig;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** One direction of dialling between two processes: passes bytes on, or does to them what it is told. */
+public final class FaultProxy implements Closeable {
+    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final InetSocketAddress to;
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    /** Bytes of the one who dials, and those of the one dialled, that are swallowed. */
+    private volatile boolean cutThere, cutBack;
+    private volatile boolean gone;
+    private volatile long delayMillis;
+    private volatile double breaks, bytesPerSecond = Double.POSITIVE_INFINITY;
+
+    public FaultProxy(int port) throws IOException {
+        to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        Threads.start("proxy", () -> {
+            while (!server.isClosed()) {
+                Socket in = server.accept();
+                sockets.add(in);
+                Threads.start("proxy", () -> carry(in));
+            }
+        });
+    }
+
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    private void carry(Socket in) throws IOException, InterruptedException {
+        if (gone) {
+            // Whoever dials is let in by the system and hears nothing, as from a machine that went without a word.
+            while (gone && !in.isClosed()) {
+                Thread.sleep(20);
+            }
+            in.close();
+            return;
+        }
+        Socket out = new Socket();
+        try {
+            out.connect(to, 1000);
+        } catch (IOException e) {
+            in.close();
+            throw e;
+        }
+        // Else small messages wait 40 ms for the last one to be acknowledged.
+        in.setTcpNoDelay(true);
+        out.setTcpNoDelay(true);
+        sockets.add(out);
+        Threads.start("proxy", () -> pass(in, out, true));
+        Threads.start("proxy", () -> pass(out, in, false));
+    }
+
+    private boolean cut(boolean there) {
+        return gone || (there ? cutThere : cutBack);
+    }
+
+    private void pass(Socket from, Socket into, boolean there) throws IOException, InterruptedException {
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = into.getOutputStream();
+            byte[] bytes = new byte[16 << 10];
+            for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+                if (delayMillis > 0) {
+                    Thread.sleep(delayMillis);
+                }
+                if (bytesPerSecond < Double.POSITIVE_INFINITY) {
+                    Thread.sleep((long) (1000 * count / bytesPerSecond));
+                }
+                if (cut(there)) {
+                    // What was swallowed can't be made up for: the rest would make no sense.
+                    while (cut(there)) {
+                        Thread.sleep(20);
+                    }
+                    break;
+                }
+                if (breaks > 0 && ThreadLocalRandom.current().nextDouble() < breaks) {
+                    break;
+                }
+                out.write(bytes, 0, count);
+            }
+        } finally {
+            from.close();
+            into.close();
+            sockets.remove(from);
+            sockets.remove(into);
+        }
+    }
+
+    /** Swallows what comes in these directions, or no more. */
+    public void cut(boolean there, boolean back) {
+        cutThere = there;
+        cutBack = back;
+    }
+
+    /** The far end is gone without a word, or there again. */
+    public void gone(boolean now) {
+        gone = now;
+    }
+
+    /** Each piece of bytes comes so much later. */
+    public void slow(long millis) {
+        delayMillis = millis;
+    }
+
+    /** This part of the pieces breaks its connection; 0 to 1. */
+    public void lossy(double part) {
+        breaks = part;
+    }
+
+    /** So many bytes a second in each direction of each connection. */
+    public void limit(double perSecond) {
+        bytesPerSecond = perSecond;
+    }
+
+    public void heal() {
+        cut(false, false);
+        gone(false);
+        slow(0);
+        lossy(0);
+        limit(Double.POSITIVE_INFINITY);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        heal();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
--- a/lab/src/main/java/lupinvalve/lab/RevisionChecker.java
+++ b/rig/src/main/java/lupinvalve/rig/RevisionChecker.java
@@ -1,4 +1,4 @@
-package lupinvalve.lab;
+package lupinvalve.rig;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- /dev/null
+++ b/rig/src/main/java/lupinvalve/rig/Step.java
@@ -0,0 +1,81 @@
+package lupinvalve.rig;
+
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * One fault of a scenario. Without I/O.
+ *
+ * @param atMillis from the scenario's start
+ * @param who a pooler, or a db node for the kinds that strike those; {@link #LEADER} is whoever leads then
+ * @param to the other end of a connection, a pooler or a db node, or {@link #ALL}; empty where the kind has none
+ * @param amount as {@link Kind} says; 0 where the kind has none
+ * @param forMillis until it is undone
+ */
+public record Step(long atMillis, Kind kind, String who, String to, double amount, long forMillis) {
+    /** Who leads the group when the step's time comes. */
+    public static final String LEADER = "leader";
+    /** All others. */
+    public static final String ALL = "*";
+
+    /** What is done. */
+    public enum Kind {
+        /** SIGKILL; started again afterwards. */
+        KILL(false, false),
+        /** All poolers at once. */
+        POWER(false, false),
+        /** SIGTERM, and a start at once. */
+        RESTART(false, false),
+        /** SIGSTOP, then SIGCONT. */
+        PAUSE(false, false),
+        /** Both directions swallow all. */
+        CUT(true, false),
+        /** {@code who} is not heard by {@code to}, but hears it. */
+        CUT_THERE(true, false),
+        /** A cut that comes and goes; the amount is the period in ms. */
+        FLAP(true, true),
+        /** Each piece of bytes comes so many ms later. */
+        SLOW(true, true),
+        /** This part of the pieces breaks its connection, as one does that gives up sending again. */
+        LOSSY(true, true),
+        /** So many bytes a second. */
+        LIMIT(true, true),
+        /** The far end is gone without a word: connections stay open and silent, also new ones. */
+        HALF_OPEN(true, false),
+        /** A db node's process dies; a primary has a successor after 1 s. */
+        NODE_KILL(false, false),
+        /** A db node stands still. */
+        NODE_PAUSE(false, false),
+        /** A db node takes so many ms more for each request. */
+        NODE_SLOW(false, true);
+
+        /** Whether it strikes a connection. */
+        public final boolean between;
+        /** Whether it has an amount. */
+        public final boolean measured;
+
+        Kind(boolean between, boolean measured) {
+            this.between = between;
+            this.measured = measured;
+        }
+
+        /** Whether it strikes a db node. */
+        public boolean ofNode() {
+            return NODES.contains(this);
+        }
+
+        /** Whether the pooler's process does not run, or not on, while it lasts. */
+        public boolean downs() {
+            return DOWNS.contains(this);
+        }
+    }
+
+    private static final Set<Kind> NODES = EnumSet.of(Kind.NODE_KILL, Kind.NODE_PAUSE, Kind.NODE_SLOW);
+    private static final Set<Kind> DOWNS = EnumSet.of(Kind.KILL, Kind.PAUSE);
+
+    @Override
+    public String toString() {
+        return atMillis + " ms: " + kind.name().toLowerCase(java.util.Locale.ROOT) + " " + who + (to.isEmpty() ? "" : " to " + to)
+                + (kind.measured ? " by " + amount : "") + " for " + forMillis + " ms";
+    }
+}
--- /dev/null
+++ b/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
@@ -0,0 +1,47 @@
+package lupinvalve.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import lupinvalve.faults.Points;
+import org.junit.jupiter.api.Test;
+
+/** Three processes of the program as it ships, with faults between them, and one that ends itself at a numbered point. */
+class ProcessesTest {
+    private static final Path CONFIG = Path.of("example/config.json");
+
+    /** One of each of those that must never leave a mark: a leader's end, a one-way cut, a flapping link, a pause, a node's end. */
+    private static final List<Step> STEPS = List.of(
+            new Step(200, Step.Kind.KILL, Step.LEADER, "", 0, 900),
+            new Step(600, Step.Kind.FLAP, "p1", "n0", 200, 900),
+            new Step(2_200, Step.Kind.CUT_THERE, "p0", "p2", 0, 900),
+            new Step(2_400, Step.Kind.NODE_KILL, "n0", "", 0, 1_400),
+            new Step(3_300, Step.Kind.PAUSE, "p2", "", 0, 700),
+            new Step(4_200, Step.Kind.RESTART, "p1", "", 0, 0));
+
+    @Test
+    void threeProcessesComeThroughWithNothingLostDoubledOrUnanswered() throws Exception {
+        try (Drill drill = new Drill(new Drill.Setting(new Scenario(3, 2, STEPS), CONFIG, 7, false,
+                new PrintStream(OutputStream.nullOutputStream()), List.of(), 5))) {
+            drill.start();
+            drill.play();
+            Drill.Result result = drill.judge(true);
+            assertEquals(List.of(), result.findings(), result.json());
+            assertTrue(result.good(), result.json());
+        }
+    }
+
+    @Test
+    void aProcessThatEndsItselfAtAPointComesBackToTheSameHistory() throws Exception {
+        // The first point is the look into the empty folder; the 40th comes while the group is founded or soon after.
+        for (Points.At at : List.of(new Points.At(1, Points.Fault.FAIL), new Points.At(40, Points.Fault.DIE_BEFORE))) {
+            PointPlay.Played played = PointPlay.play(CONFIG, 7, at);
+            assertTrue(played.met() != null, "point " + at + " was met");
+            assertEquals(List.of(), played.findings(), played.json());
+        }
+    }
+}
--- a/lab/src/test/java/lupinvalve/lab/RevisionCheckerTest.java
+++ b/rig/src/test/java/lupinvalve/rig/RevisionCheckerTest.java
@@ -1,4 +1,4 @@
-package lupinvalve.lab;
+package lupinvalve.rig;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
