--- /dev/null
+++ b/audit/src/main/java/lupinvalve/audit/Leases.java
@@ -0,0 +1,117 @@
+package lupinvalve.audit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The leader's side of leases: who may still act, and on what. Decides when a strict change is done: once each pooler acts on it
+ * or its lease has ended. A pooler that stays behind one is not granted another, and so is shut out, with its reason; a minority
+ * at most, as a majority has accepted the change. No I/O; the leader's own monotonic clock, in microseconds.
+ */
+public final class Leases {
+    /** How long a pooler may take to act on a strict change before it gets no further lease. */
+    public static final long CATCH_UP = 500_000;
+    /** A pooler that was shut out is let in again only after it has been well for so long; the longer the more often. */
+    private static final long STEADY = 300_000, STEADY_MOST = 5_000_000;
+
+    private static final class Held {
+        long until, acting, wellSince = Long.MIN_VALUE;
+        String objection = "", shutOut = "";
+        int times;
+    }
+
+    /** What a renewal was answered: for how long, 0 where it was not granted, and then why. */
+    public record Granted(long lengthMicros, String why) {}
+
+    private final TreeMap<String, Held> held = new TreeMap<>();
+    private final long electedUntil;
+    private long strict, strictSince;
+
+    /**
+     * From when this member leads on.
+     *
+     * @param nowMicros the leader before may have granted leases until now, which nobody here knows of
+     * @param accepted the last change that may have been called done by a leader before: nobody is let act on less
+     */
+    public Leases(long nowMicros, long accepted) {
+        electedUntil = nowMicros + past(Lease.LENGTH);
+        strict = accepted;
+        strictSince = Long.MIN_VALUE / 2;
+    }
+
+    private static long past(long lengthMicros) {
+        return (long) (lengthMicros * (1 + Lease.DRIFT)) + 1;
+    }
+
+    /** A strict change was accepted: whoever acts on less is not granted any more once it had time to catch up. */
+    public void strict(long index, long nowMicros) {
+        if (index > strict) {
+            strict = index;
+            strictSince = nowMicros;
+        }
+    }
+
+    /**
+     * A pooler asks for a lease.
+     *
+     * @param acting up to which change it acts on the agreed history
+     * @param objection why it can't act on more, or empty
+     */
+    public Granted renew(String pooler, long acting, String objection, long nowMicros) {
+        Held one = held.computeIfAbsent(pooler, p -> new Held());
+        one.acting = acting;
+        one.objection = objection;
+        // One that holds none may have been passed over already when the change was called done.
+        boolean behind = acting < strict && (nowMicros - strictSince > CATCH_UP || !objection.isEmpty() || nowMicros >= one.until);
+        if (behind) {
+            // One that has just started has had no lease of late: it comes up to date, and is no case for watching.
+            if (one.shutOut.isEmpty() && one.until > nowMicros - Lease.LENGTH) {
+                one.times++;
+            }
+            one.shutOut = objection.isEmpty() ? "acts on change " + acting + ", " + strict + " is wanted" : objection;
+            one.wellSince = Long.MIN_VALUE;
+            return new Granted(0, one.shutOut);
+        }
+        if (!one.shutOut.isEmpty()) {
+            // Guards against one that is well for a moment again and again.
+            one.wellSince = one.wellSince == Long.MIN_VALUE ? nowMicros : one.wellSince;
+            if (one.times > 0 && nowMicros - one.wellSince < Math.min(STEADY_MOST, STEADY << Math.min(one.times, 10))) {
+                return new Granted(0, "was shut out (" + one.shutOut + ") and is watched for a while");
+            }
+            one.shutOut = "";
+        }
+        one.until = Math.max(one.until, nowMicros + past(Lease.LENGTH));
+        return new Granted(Lease.LENGTH, "");
+    }
+
+    /** Who must still be waited for before a change can be called done: those that may act on less. */
+    public List<String> waitedFor(long index, Collection<String> poolers, long nowMicros) {
+        List<String> left = new ArrayList<>();
+        for (String pooler : poolers) {
+            Held one = held.get(pooler);
+            // It may hold a lease of the leader before, whatever it was granted here.
+            boolean may = nowMicros < Math.max(electedUntil, one == null ? 0 : one.until);
+            if (may && (one == null || one.acting < index)) {
+                left.add(pooler);
+            }
+        }
+        return left;
+    }
+
+    /** Those that may not act now, each with the reason. */
+    public Map<String, String> stragglers(Collection<String> poolers, long nowMicros) {
+        Map<String, String> out = new TreeMap<>();
+        for (String pooler : poolers) {
+            Held one = held.get(pooler);
+            if (one != null && !one.shutOut.isEmpty()) {
+                out.put(pooler, one.shutOut);
+            } else if (nowMicros >= Math.max(electedUntil, one == null ? 0 : one.until)) {
+                out.put(pooler, "not heard of, its lease has ended");
+            }
+        }
+        return out;
+    }
+}
--- a/config/src/main/java/lupinvalve/config/OperatorConfig.java
+++ b/config/src/main/java/lupinvalve/config/OperatorConfig.java
@@ -28,7 +28,15 @@
      * @param waitMicros how long a booking's answer waits for a majority to hold its session's token; 0 for not at all
      */
     public record Store(String cluster, String name, Path folder, String listen, Map<String, String> members, Tls tls,
-            long waitMicros) {}
+            long waitMicros, Audit audit) {
+        public Store(String cluster, String name, Path folder, String listen, Map<String, String> members, Tls tls,
+                long waitMicros) {
+            this(cluster, name, folder, listen, members, tls, waitMicros, Audit.OFF);
+        }
+    }
+
+    /** Whether a member keeps entries of what it acts on and holds a lease for it, and what it does once that has ended. */
+    public enum Audit { OFF, SERVE, FENCE }
 
     /** PEM files: who signs members' certificates, this member's own and its key. */
     public record Tls(Path authority, Path certificate, Path key) {}
@@ -89,6 +97,33 @@
         }
     }
 
+    /**
+     * Why a document can't follow the one that holds, or null: a change that running members could not act on before their next
+     * start is turned down as it is put, with what to do.
+     *
+     * @param current null where none holds
+     */
+    public static String refusal(byte[] current, byte[] next) {
+        if (current == null) {
+            return null;
+        }
+        try {
+            OperatorConfig before = read(current);
+            OperatorConfig after = read(next);
+            if ((before.dnsSd == null) != (after.dnsSd == null)) {
+                return "dns_sd: members that run can't " + (after.dnsSd == null ? "leave DNS-SD" : "turn to DNS-SD")
+                        + "; found a group with a configuration that " + (after.dnsSd == null ? "lacks it" : "has it");
+            }
+            if (before.mysql != null && after.mysql != null && before.mysql.nodePort != after.mysql.nodePort) {
+                return "mysql.node_port is " + before.mysql.nodePort + " at members that run; " + after.mysql.nodePort
+                        + " would hold from their next start only";
+            }
+            return null;
+        } catch (IOException e) {
+            return String.valueOf(e.getMessage()).replace('\n', ' ');
+        }
+    }
+
     /**
      * This file with what a group keeps in the place of its own parts: only what a majority has accepted is acted on.
      * The MySQL front is on only where this file says where it listens.
@@ -136,6 +171,7 @@
         String listen = null;
         Tls tls = null;
         long wait = 0;
+        Audit audit = Audit.OFF;
         Map<String, String> members = new TreeMap<>();
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String name = in.currentName();
@@ -147,6 +183,7 @@
                 case "listen" -> listen = in.getValueAsString();
                 case "members" -> members(in, members);
                 case "tls" -> tls = tls(in);
+                case "audit" -> audit = audit(in.getValueAsString(""));
                 case "wait_for_majority_ms" -> wait = in.getValueAsLong(-1) * 1000;
                 case "peers", "secret" -> throw new IOException("operator's file: store." + name
                         + " was the old store's; now store.members names all members, and store.tls guards them");
@@ -168,7 +205,16 @@
             throw new IOException("operator's file: store.wait_for_majority_ms is " + wait / 1000 + "; 0 to "
                     + WAIT_MOST / 1000 + " are possible");
         }
-        return new Store(cluster, member, Path.of(folder), listen, Map.copyOf(members), tls, wait);
+        return new Store(cluster, member, Path.of(folder), listen, Map.copyOf(members), tls, wait, audit);
+    }
+
+    private static Audit audit(String text) throws IOException {
+        return switch (text) {
+            case "off" -> Audit.OFF;
+            case "serve" -> Audit.SERVE;
+            case "fence" -> Audit.FENCE;
+            default -> throw new IOException("operator's file: store.audit is " + text + "; off, serve and fence are possible");
+        };
     }
 
     private static void members(JsonParser in, Map<String, String> members) throws IOException {
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import lupinvalve.Router;
 import lupinvalve.Routing;
 import lupinvalve.Routing.Ending;
@@ -101,6 +102,8 @@
     private final Drain drain = new Drain();
     private final Figures figures;
     private Runnable informed = () -> { };
+    /** Whether this pooler may act on what it knows; null where that right can't end. */
+    private BooleanSupplier fence;
     private final Map<String, Held> byId = new HashMap<>();
     private final Set<String> named = new HashSet<>();
     private final Slots<Held> requests = new Slots<>(MOST);
@@ -149,6 +152,18 @@
         directory = source;
     }
 
+    /**
+     * From now on nothing is decided while this says no: what comes is refused at once, and what was decided and has not gone out
+     * does not go. From any thread.
+     */
+    public void fence(BooleanSupplier open) {
+        fence = open;
+    }
+
+    private boolean fenced() {
+        return fence != null && !fence.getAsBoolean();
+    }
+
     public void marks(Marks memory) {
         marks = memory;
     }
@@ -187,7 +202,7 @@
 
     /** Takes a request; its ticket returns with the one final answer. Gives a handle for {@link #gone}. */
     public long request(Front front, long ticket, Ask ask) {
-        if (requests.full()) {
+        if (requests.full() || fenced()) {
             figures.ended(ask.classIndex(), Figures.End.REFUSED);
             front.refused(ticket, settings.limits().maxRetryAfterMicros());
             return -1;
@@ -426,7 +441,7 @@
      */
     public boolean bars(String node) {
         Long since = leaving.get(node);
-        return !lists(node) || since != null && loop.now() >= since + settings.rules().drainGraceMicros() * 3 / 4;
+        return fenced() || !lists(node) || since != null && loop.now() >= since + settings.rules().drainGraceMicros() * 3 / 4;
     }
 
     /** The list as it stands, with the roles and positions that db nodes have shown; after {@link #start}. */
@@ -559,7 +574,7 @@
         }
         String address = held == null ? null
                 : addresses.getOrDefault(send.node(), Map.of()).get(held.ask.protocol());
-        if (held == null || address == null || attempts.full()) {
+        if (held == null || address == null || attempts.full() || fenced()) {
             feed(new Routing.Outcome(send.id(), number, send.node(), Ending.NOT_SENT, 0, held == null,
                     Routing.NO_POSITION, Routing.Role.UNKNOWN));
             return;
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -93,6 +93,10 @@
         if (operator.store() != null) {
             shared = new Shared(pooler, operator.store(), opening, this::adopted, this::held);
             operator = local.accepted(shared.document());
+            if (shared.group().fences()) {
+                pooler.fence(shared.group()::mayAct);
+                net.fence(shared.group()::mayAct);
+            }
         }
         // Two fronts and two pools share the sockets that one of each would have.
         int parts = file.mysql() == null ? 1 : 2;
--- a/daemon/src/main/java/lupinvalve/cli/Shared.java
+++ b/daemon/src/main/java/lupinvalve/cli/Shared.java
@@ -103,6 +103,16 @@
         return OperatorConfig.objection(document);
     }
 
+    @Override
+    public String refusal(byte[] current, byte[] next) {
+        return OperatorConfig.refusal(current, next);
+    }
+
+    @Override
+    public void reached(Runnable then) {
+        pooler.loop().post(then);
+    }
+
     @Override
     public void adopt(Ledger.Document document) {
         pooler.loop().post(() -> adopted.accept(document.content()));
--- a/daemon/src/main/java/lupinvalve/cli/StoreCommand.java
+++ b/daemon/src/main/java/lupinvalve/cli/StoreCommand.java
@@ -29,7 +29,7 @@
     static final int CONFLICT = 3, MAY_HAVE = 4, NOBODY = 5;
 
     @Argument(index = 0, required = true, metaVar = "CALL",
-            usage = "status, get, put, members, add, remove, hold, release, holds, snapshot, verify or keys")
+            usage = "status, get, put, members, add, remove, hold, release, holds, snapshot, audit, verify or keys")
     private String call;
 
     @Argument(index = 1, multiValued = true, metaVar = "WHAT")
@@ -44,6 +44,9 @@
     @Option(name = "--why", metaVar = "TEXT", usage = "hold: for those who look later")
     private String why = "";
 
+    @Option(name = "--strict", usage = "put, hold, release: done only once nobody acts on what held before")
+    private boolean strict;
+
     @Option(name = "--show-secrets", usage = "get, verify: passwords and keys as they are")
     private boolean secrets;
 
@@ -67,6 +70,9 @@
         if (call.equals("verify")) {
             return print(Client.verify(Path.of(argument(0, "a folder")), secrets));
         }
+        if (call.equals("audit") && !what.isEmpty() && what.get(0).equals("verify")) {
+            return print(Client.verifyAudit(Path.of(argument(1, "a folder"))));
+        }
         if (operator == null) {
             throw new IllegalArgumentException("store " + call + " needs --operator FILE");
         }
@@ -85,6 +91,7 @@
             case "status", "members", "holds", "snapshot" -> {
                 // Nothing more to say.
             }
+            case "audit" -> what.forEach(word -> arguments.add(bytes(word)));
             case "get" -> arguments.add(bytes(secrets ? "bare" : ""));
             case "put" -> put(arguments);
             case "add", "remove" -> arguments.add(bytes(argument(0, "a member's name")));
@@ -95,6 +102,9 @@
                 return 2;
             }
         }
+        if (strict) {
+            arguments.add(bytes("strict"));
+        }
         Client.Said said = client.ask(call, arguments, !call.equals("put"), 1000L * seconds);
         if (said.code() == Messages.Code.OK) {
             return print(said.text());
--- a/daemon/src/test/java/lupinvalve/cli/GroupTest.java
+++ b/daemon/src/test/java/lupinvalve/cli/GroupTest.java
@@ -48,6 +48,8 @@
     private final Map<String, Map<Change.Holding, Ledger.Held>> holds = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Long>> tokens = new ConcurrentHashMap<>();
 
+    private OperatorConfig.Audit audit = OperatorConfig.Audit.OFF;
+
     @BeforeAll
     static void authorities() throws Exception {
         Log.to(new PrintStream(new ByteArrayOutputStream()));
@@ -88,7 +90,7 @@
     }
 
     private OperatorConfig.Store config(String name, OperatorConfig.Tls tls) {
-        return new OperatorConfig.Store("plant", name, folder.resolve(name), addresses.get(name), addresses, tls, 0);
+        return new OperatorConfig.Store("plant", name, folder.resolve(name), addresses.get(name), addresses, tls, 0, audit);
     }
 
     private Group start(String name, OperatorConfig.Tls tls) throws IOException {
@@ -100,6 +102,11 @@
                 return OperatorConfig.objection(document);
             }
 
+            @Override
+            public String refusal(byte[] current, byte[] next) {
+                return OperatorConfig.refusal(current, next);
+            }
+
             @Override
             public void adopt(Ledger.Document document) {
                 acting.put(name, document);
@@ -200,6 +207,62 @@
         assertTrue(store(c, "status").out().contains("phase: founded"));
     }
 
+    @Test
+    void aStrictChangeWaitsForThoseWhoMayStillActAndTheAuditTellsWhoDid() throws Exception {
+        audit = OperatorConfig.Audit.FENCE;
+        places();
+        for (String name : NAMES) {
+            start(name, null);
+        }
+        Path a = file("a", null);
+        World.await("all may act", () -> groups.values().stream().allMatch(Group::mayAct));
+        String first = document("{\"mysql\":{\"user\":\"one\"}}").toString();
+        Said put = store(a, "put", first, "--revision", "0", "--strict");
+        assertEquals(0, put.code(), put.err());
+        assertEquals(3, acting.size(), "all act on it by the time of the answer");
+        Said turned = store(a, "put", document("{\"dns_sd\":{\"resolver\":\"127.0.0.1:53\",\"service\":\"_x._tcp.example.org\"}}")
+                .toString(), "--revision", "1");
+        assertTrue(turned.code() == 1 && turned.err().contains("dns_sd: members that run can't turn to DNS-SD"), turned.err());
+
+        Group gone = groups.remove("c");
+        gone.stop();
+        long start = System.nanoTime();
+        Said held = store(a, "hold", "node", "db-7", "--strict", "--seconds", "20");
+        assertEquals(0, held.code(), held.err());
+        long tookMillis = (System.nanoTime() - start) / 1_000_000;
+        assertTrue(held.out().contains("waited_for: c") && tookMillis > 500, held.out() + " in " + tookMillis + " ms");
+        assertTrue(!gone.mayAct(), "it may act no more by the time of the answer");
+        World.await("its end is known as one", () -> {
+            try {
+                return store(a, "audit", "stragglers").out().contains("stragglers.0.pooler: c");
+            } catch (Exception e) {
+                return false;
+            }
+        });
+        String acted = store(a, "audit", "version", "1").out();
+        for (String name : List.of("a", "b")) {
+            assertTrue(acted.contains("pooler: " + name), acted);
+        }
+        assertTrue(store(a, "audit", "at", Long.toString(System.currentTimeMillis() * 1000)).out().contains("acted_on: 1-"));
+        assertEquals(1, store(a, "audit", "who").code());
+        // What it noted of its own end comes once it is back; without the others it may not act.
+        groups.remove("b").stop();
+        World.await("one alone is fenced", () -> !groups.get("a").mayAct());
+        String kept = store(null, "audit", "verify", folder.resolve("b").toString()).out();
+        assertTrue(kept.contains("lives: 1") && kept.contains("acted.0: 1-"), kept);
+        start("b", null);
+        start("c", null);
+        World.await("all may act again", () -> groups.values().stream().allMatch(Group::mayAct));
+        World.await("late entries fit in", () -> {
+            try {
+                String of = store(a, "audit", "pooler", "c").out();
+                return of.contains("why: ended") && !of.contains("chain_breaks.0");
+            } catch (Exception e) {
+                return false;
+            }
+        });
+    }
+
     @Test
     void nobodyIsLetInByAForeignAnOldOrAnotherOnesCertificate() throws Exception {
         places();
--- a/decisions/src/main/java/lupinvalve/Router.java
+++ b/decisions/src/main/java/lupinvalve/Router.java
@@ -178,8 +178,9 @@
 
     private void tick() {
         for (Group g : s.groups.values()) {
-            holding.expire(g);
+            // The last look at the primary comes before the end, though both may be due at one tick.
             holding.dispatch(g);
+            holding.expire(g);
             if (!g.members.isEmpty() && holding.wanted(g) && !primaries.ready(g.primary, true)
                     && s.now >= g.changeProbeAt) {
                 // One member at a time, the faster the more is held, as every router does the same.
--- a/decisions/src/test/java/lupinvalve/RouterTest.java
+++ b/decisions/src/test/java/lupinvalve/RouterTest.java
@@ -586,6 +586,21 @@
         assertEquals("a", sentTo("w7"));
     }
 
+    @Test
+    void aHeldReadHasItsLastLookAtThePrimaryThoughItsEndIsDueAtTheSameTick() {
+        start(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.UNSAFE);
+        probed("a", now, Role.PRIMARY);
+        for (String behind : List.of("b", "c")) {
+            probed(behind, now - 530 * MS, Role.REPLICA);
+        }
+        request("r", READ, null, 800 * MS);
+        assertNull(sentTo("r"), "a replica may be fresh enough within a fifth of the aim");
+        now += 45 * MS;
+        give(new Routing.TimerFired(1));
+        assertEquals("a", sentTo("r"));
+        assertEquals(0, refusals("r"));
+    }
+
     @Test
     void aMemberThatAnswersWhileItIsLeftOutIsUsedAtOnce() {
         start(FreshnessCheck.BOUNCE, TokenSource.CARRIED, Effect.UNSAFE);
--- a/faults/src/test/java/lupinvalve/replication/SimulationTest.java
+++ b/faults/src/test/java/lupinvalve/replication/SimulationTest.java
@@ -288,4 +288,31 @@
         assertEquals(next.replica.ledger().document().digest(), old.replica.ledger().document().digest());
         assertEquals(List.of(), sim.faults);
     }
+
+    @Test
+    void aMemberWhoseDiskWasFullTakesPartAgainInTheSameLifeFromWhatIsThere() throws IOException {
+        for (long seed = 1; seed <= 20; seed++) {
+            Simulation sim = new Simulation(seed, 3, 0);
+            Simulation.Clients clients = sim.new Clients();
+            assertTrue(sim.until(() -> sim.leader() != null));
+            Simulation.Member full = sim.members.stream().filter(m -> m != sim.leader()).findFirst().orElseThrow();
+            full.disk.room = 30;
+            sim.until(() -> {
+                Scenario.leading(sim, clients);
+                return full.stopped != null;
+            });
+            assertEquals(Replica.DISK, full.stopped);
+            sim.run(3_000_000);
+            Scenario.leading(sim, clients);
+            int life = full.life;
+            full.disk.room = Long.MAX_VALUE;
+            assertTrue(sim.until(() -> {
+                Scenario.leading(sim, clients);
+                return clients.caughtUp(full);
+            }), "seed " + seed);
+            assertEquals(life, full.life);
+            clients.check(full);
+            assertEquals(List.of(), sim.faults, "seed " + seed);
+        }
+    }
 }
--- /dev/null
+++ b/group/src/main/java/lupinvalve/replication/Acting.java
@@ -0,0 +1,257 @@
+package lupinvalve.replication;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import lupinvalve.audit.Entry;
+import lupinvalve.audit.Lease;
+import lupinvalve.audit.Leases;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Identity;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.log.Log;
+
+/**
+ * What this member acts on and for how long it may: its lease, its entries, and, while it leads, the leases of all. On the
+ * group's thread but for {@link #holds}.
+ */
+final class Acting {
+    private static final long CONFIRM = 100_000, ANSWER = 1_000_000, DELIVER = 200_000;
+
+    /** What it needs of the member that it belongs to. */
+    interface Member {
+        Replica replica();
+
+        Identity leader();
+
+        /** Runs work, on the group's thread, once the pooler acts on all that it was told so far. */
+        void reached(Runnable then);
+
+        /** Why the pooler can't act on what holds, or empty. */
+        String objection();
+
+        void call(Identity whom, String what, List<byte[]> arguments, long withinMicros,
+                java.util.function.Consumer<Messages.Answer> then);
+
+        void propose(Change change, java.util.function.Consumer<Boolean> accepted);
+    }
+
+    private final Member member;
+    private final String name;
+    private final boolean fences;
+    private final AuditBook book;
+    private final Lease lease;
+    private Leases leases;
+    private long acting, asked, confirmAsked, confirmed, delivered;
+    private boolean confirming, delivering, fenced;
+    private Identity waiting;
+    private String version = "", shutOut = "";
+
+    Acting(Member member, String name, boolean fences, Disk disk, long lifeMicros) throws IOException {
+        this.member = member;
+        this.name = name;
+        this.fences = fences;
+        book = new AuditBook(disk, name, lifeMicros);
+        lease = new Lease(clock());
+        fenced = fences;
+        book.note(Entry.What.STARTED, "", 0, lifeMicros, "");
+        if (fences) {
+            book.note(Entry.What.FENCED, "", 0, lifeMicros, "no lease yet");
+        }
+    }
+
+    /** A clock that never jumps, in microseconds; leases are counted by it alone. */
+    static long clock() {
+        return System.nanoTime() / 1000;
+    }
+
+    /** Whether the pooler may act now; from any thread. */
+    boolean holds() {
+        return !fences || lease.holds(clock());
+    }
+
+    // ---- entries ----
+
+    /** A version is about to be acted on: noted and forced first. False where the disk failed: then it must not be. */
+    boolean adopts(String next, long index, long nowMicros) {
+        look(nowMicros);
+        return note(Entry.What.ADOPTED, next, index, nowMicros, "");
+    }
+
+    /** The pooler acts on nothing but this version from now on. */
+    void acts(String next, long index, long nowMicros) {
+        look(nowMicros);
+        version = next;
+        note(Entry.What.CEASED_OTHERS, next, index, nowMicros, "");
+    }
+
+    void refuses(String next, long index, long nowMicros, String why) {
+        note(Entry.What.REFUSED, next, index, nowMicros, why);
+    }
+
+    void inTouch(boolean now, long nowMicros) {
+        note(now ? Entry.What.BACK : Entry.What.CUT_OFF, version, acting, nowMicros, "");
+    }
+
+    void ends(long nowMicros) {
+        note(Entry.What.ENDED, version, acting, nowMicros, "");
+        book.close();
+    }
+
+    private boolean note(Entry.What what, String of, long index, long nowMicros, String why) {
+        try {
+            book.note(what, of, index, nowMicros, why);
+            return true;
+        } catch (IOException e) {
+            Log.error("store: an audit entry can't be kept: %s", e.getMessage());
+            return false;
+        }
+    }
+
+    // ---- leases ----
+
+    /** Called ten times a second. */
+    void tick(boolean leads, long nowMicros) {
+        long now = clock();
+        Replica replica = member.replica();
+        if (!leads) {
+            leases = null;
+        }
+        if (leads && !confirming && now - confirmAsked >= CONFIRM) {
+            confirming = true;
+            confirmAsked = now;
+            replica.upToDate((fate, ok) -> {
+                confirming = false;
+                if (fate != Replica.Fate.DONE) {
+                    return;
+                }
+                confirmed = now;
+                if (leases == null) {
+                    // All that leaders before have called done is in the ledger by now.
+                    leases = new Leases(clock(), replica.ledger().applied());
+                }
+            });
+        }
+        if (replica != null) {
+            long upTo = replica.ledger().applied();
+            member.reached(() -> acting = Math.max(acting, upTo));
+        }
+        renew(leads, now);
+        look(nowMicros);
+        deliver(now);
+    }
+
+    /**
+     * Notes that the lease has ended, at the time when it did, or that there is one again. Before anything else is noted, as a process
+     * that stood still hears of many things at once when it wakes.
+     */
+    private void look(long nowMicros) {
+        long now = clock();
+        if (fences && fenced == lease.holds(now)) {
+            fenced = !fenced;
+            note(fenced ? Entry.What.FENCED : Entry.What.RETURNED, version, acting, fenced ? nowMicros - (now - lease.until())
+                    : nowMicros, fenced ? shutOut : "");
+        }
+    }
+
+    private void renew(boolean leads, long now) {
+        Identity leader = member.leader();
+        if (leader == null || leader.equals(waiting) || now - asked < (lease.until() - now > Lease.LENGTH / 2 ? Lease.RENEW : CONFIRM)) {
+            return;
+        }
+        asked = now;
+        if (leads) {
+            granted(grant(name, acting, member.objection()), now);
+            return;
+        }
+        waiting = leader;
+        member.call(leader, "lease", List.of(bytes(name), bytes(Long.toString(acting)), bytes(member.objection())), ANSWER, answer -> {
+            // One who leads no more may answer late; what it granted still counts from when it was asked.
+            waiting = leader.equals(waiting) ? null : waiting;
+            if (answer.code() == Messages.Code.OK) {
+                granted(new Leases.Granted(Long.parseLong(answer.text()), ""), now);
+            } else if (answer.code() == Messages.Code.REFUSED) {
+                granted(new Leases.Granted(0, answer.text()), now);
+            }
+        });
+    }
+
+    private void granted(Leases.Granted granted, long askedAt) {
+        if (granted.lengthMicros() > 0) {
+            lease.granted(askedAt, granted.lengthMicros());
+            shutOut = "";
+        } else if (!granted.why().isEmpty()) {
+            shutOut = granted.why();
+        }
+    }
+
+    /**
+     * The leader's answer to a request for a lease. Nothing is granted past what it could be sure of when a majority last confirmed
+     * that it leads: a later leader counts its own wait from its election, which came after that.
+     */
+    Leases.Granted grant(String pooler, long actsOn, String objection) {
+        long now = clock();
+        long left = leases == null ? 0 : confirmed + Lease.LENGTH - now;
+        if (left <= 0) {
+            return new Leases.Granted(0, "");
+        }
+        Leases.Granted granted = leases.renew(pooler, actsOn, objection, now);
+        return granted.lengthMicros() == 0 ? granted : new Leases.Granted(Math.min(left, granted.lengthMicros()), "");
+    }
+
+    /** The leader's: a strict change has been accepted. */
+    void strict(long index) {
+        if (leases != null) {
+            leases.strict(index, clock());
+        }
+    }
+
+    /** The leader's: who must be waited for before a change is done; null where it leads no more. */
+    List<String> waitedFor(long index, List<String> poolers) {
+        return leases == null ? null : leases.waitedFor(index, poolers, clock());
+    }
+
+    /** The leader's: who may not act, with reasons. */
+    java.util.Map<String, String> stragglers(List<String> poolers) {
+        return leases == null ? java.util.Map.of() : leases.stragglers(poolers, clock());
+    }
+
+    // ---- delivery ----
+
+    private void deliver(long now) {
+        Change.Noted due = delivering || member.leader() == null || now - delivered < DELIVER ? null : book.due();
+        if (due == null) {
+            return;
+        }
+        delivering = true;
+        delivered = now;
+        member.propose(due, accepted -> {
+            delivering = false;
+            if (accepted) {
+                book.delivered(due);
+            }
+        });
+    }
+
+    /** What is told of it in the status: how long the lease has left, and what was said where it was not granted. */
+    long leaseMicros() {
+        return Math.max(0, lease.until() - clock());
+    }
+
+    String shutOut() {
+        return shutOut;
+    }
+
+    long acting() {
+        return acting;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** How a document is named as a version. */
+    static String version(Ledger.Document document) {
+        return document.revision() + "-" + document.digest();
+    }
+}
--- /dev/null
+++ b/group/src/main/java/lupinvalve/replication/AuditBook.java
@@ -0,0 +1,114 @@
+package lupinvalve.replication;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import lupinvalve.audit.Entry;
+import lupinvalve.audit.Journal;
+import lupinvalve.ledger.Change;
+import lupinvalve.log.Log;
+
+/**
+ * A member's entries on its own disk, one file for each life, each entry forced before it is acted on; and what of them the
+ * group has not been told yet, those of earlier lives first. On the group's thread.
+ */
+final class AuditBook {
+    static final String FILE = "audit-";
+    private static final int LIVES_MOST = 8, AT_ONCE = 100;
+    /** The platform's clock is read once at the start and goes on by the monotonic one: what an hour of those may differ. */
+    private static final long CLOCK_ERROR = 20_000;
+    private final Disk disk;
+    private final String pooler, name;
+    private final Journal journal;
+    private final List<Change.Noted> earlier = new ArrayList<>();
+    private Disk.Out out;
+
+    /** @param lifeMicros when this process started, which names its file */
+    AuditBook(Disk disk, String pooler, long lifeMicros) throws IOException {
+        this.disk = disk;
+        this.pooler = pooler;
+        name = String.format("%s%020d", FILE, lifeMicros);
+        List<String> files = disk.names().stream().filter(file -> file.startsWith(FILE)).toList();
+        for (int i = 0; i < files.size(); i++) {
+            if (i < files.size() - LIVES_MOST) {
+                disk.delete(files.get(i));
+            } else {
+                left(files.get(i));
+            }
+        }
+        journal = new Journal(pooler, lifeMicros, CLOCK_ERROR);
+    }
+
+    /** All entries of a file; a torn end is left out. */
+    static List<Entry> read(Disk disk, String file) throws IOException {
+        List<byte[]> contents = new ArrayList<>();
+        Frames.read(file, disk.read(file), true, contents);
+        List<Entry> entries = new ArrayList<>();
+        for (byte[] content : contents) {
+            entries.add(Entry.read(content));
+        }
+        return entries;
+    }
+
+    private void left(String file) {
+        try {
+            List<Entry> entries = read(disk, file);
+            for (int from = 0; from < entries.size(); from += AT_ONCE) {
+                earlier.add(noted(entries.subList(from, Math.min(entries.size(), from + AT_ONCE))));
+            }
+        } catch (IOException e) {
+            Log.warn("store: %s", e.getMessage());
+        }
+    }
+
+    private static Change.Noted noted(List<Entry> entries) {
+        Entry first = entries.get(0);
+        return new Change.Noted(first.pooler(), first.life(), first.number(), entries.stream().map(Entry::write).toList());
+    }
+
+    /** Notes something and forces it; where that fails, it must not be acted on. */
+    void note(Entry.What what, String version, long index, long nowMicros, String why) throws IOException {
+        List<Entry> added = journal.add(what, version, index, nowMicros, why);
+        if (out == null) {
+            out = disk.create(name);
+        }
+        for (Entry entry : added) {
+            out.write(Frames.frame(entry.write()));
+        }
+        out.force();
+        Log.info("store: audit: %s %s, change %s%s", what.name().toLowerCase(java.util.Locale.ROOT), version, index,
+                why.isEmpty() ? "" : ": " + why);
+    }
+
+    /** What the group is to be told next, or null. */
+    Change.Noted due() {
+        if (!earlier.isEmpty()) {
+            return earlier.get(0);
+        }
+        List<Entry> due = journal.due(AT_ONCE);
+        // A summary breaks the numbers' sequence: what follows goes apart.
+        for (int i = 1; i < due.size(); i++) {
+            if (due.get(i).number() != due.get(i - 1).number() + 1) {
+                due = due.subList(0, i);
+            }
+        }
+        return due.isEmpty() ? null : noted(due);
+    }
+
+    /** The group holds it. */
+    void delivered(Change.Noted what) {
+        if (!earlier.remove(what)) {
+            journal.delivered(what.first() + what.entries().size() - 1);
+        }
+    }
+
+    void close() {
+        try {
+            if (out != null) {
+                out.close();
+            }
+        } catch (IOException e) {
+            Log.warn("store: %s", e.getMessage());
+        }
+    }
+}
--- a/group/src/main/java/lupinvalve/replication/Client.java
+++ b/group/src/main/java/lupinvalve/replication/Client.java
@@ -51,6 +51,19 @@
         }
     }
 
+    /** Reads a stopped member's audit entries, each life's apart, and says whether they are one chain. */
+    public static String verifyAudit(java.nio.file.Path folder) throws IOException {
+        List<lupinvalve.audit.Entry> all = new ArrayList<>();
+        try (Disk disk = new FolderDisk(folder, false)) {
+            for (String file : disk.names()) {
+                if (file.startsWith(AuditBook.FILE)) {
+                    all.addAll(AuditBook.read(disk, file));
+                }
+            }
+        }
+        return AuditAnswers.verified(all);
+    }
+
     /**
      * Asks until there is an answer or the time is over.
      *
--- a/group/src/main/java/lupinvalve/replication/Group.java
+++ b/group/src/main/java/lupinvalve/replication/Group.java
@@ -49,6 +49,16 @@
         /** Why this version can't act on a configuration, or null. */
         String objection(byte[] document);
 
+        /** Why running poolers could not act on a configuration after the one that holds (null for none yet), or null. */
+        default String refusal(byte[] current, byte[] next) {
+            return null;
+        }
+
+        /** Runs work, on the pooler's own thread, once all that it was told so far is acted on. */
+        default void reached(Runnable then) {
+            then.run();
+        }
+
         /** A configuration that a majority has accepted is to be acted on. */
         void adopt(Ledger.Document document);
 
@@ -85,6 +95,8 @@
     private boolean outboxTimer, stopped;
     private long reviveAt, reviveAfter = REVIVE;
     private final TakeOver takeOver;
+    /** Null where the operator's file does not turn it on. */
+    private final Acting acting;
     private volatile boolean leading;
 
     /** Where a member meets the world. The program's own are these; a laboratory counts what goes through others. */
@@ -140,6 +152,8 @@
             throw new IOException("store " + config.folder() + ": " + e.getMessage(), e);
         }
         takeOver = new TakeOver(OldStore.read(config.folder()));
+        acting = config.audit() == OperatorConfig.Audit.OFF ? null
+                : new Acting(new Acts(), config.name(), config.audit() == OperatorConfig.Audit.FENCE, disk, loop.now());
         adoption = new Adoption(loop.now());
         founding = new Founding(log.word(), config.members().keySet());
         peers = new Peers(net, loop, config.cluster(), config.name(), config.listen(), log.word(),
@@ -175,6 +189,16 @@
         return peers.address();
     }
 
+    /** Whether the pooler beside may act on what it knows; from any thread. */
+    public boolean mayAct() {
+        return acting == null || acting.holds();
+    }
+
+    /** Whether the right to act can end here. */
+    public boolean fences() {
+        return config.audit() == OperatorConfig.Audit.FENCE;
+    }
+
     /** Whether this member leads, as far as it knows; from any thread. */
     public boolean leads() {
         return leading;
@@ -198,6 +222,9 @@
         loop.post(() -> {
             stopped = true;
             peers.stop();
+            if (acting != null) {
+                acting.ends(loop.now());
+            }
             if (replica != null) {
                 replica.end("stopped");
             }
@@ -260,6 +287,42 @@
         }
     }
 
+    private final class Acts implements Acting.Member {
+        @Override
+        public Replica replica() {
+            return replica;
+        }
+
+        @Override
+        public Identity leader() {
+            return leader;
+        }
+
+        @Override
+        public void reached(Runnable then) {
+            pooler.reached(() -> loop.post(then));
+        }
+
+        @Override
+        public String objection() {
+            return ended != null ? ended : adoption.unreadable();
+        }
+
+        @Override
+        public void call(Identity whom, String what, List<byte[]> arguments, long withinMicros, Consumer<Messages.Answer> then) {
+            peers.call(whom, what, arguments, withinMicros, then);
+        }
+
+        @Override
+        public void propose(Change change, Consumer<Boolean> accepted) {
+            if (replica == null || leader == null || ended != null) {
+                accepted.accept(false);
+            } else {
+                Group.this.propose(change, accepted);
+            }
+        }
+    }
+
     /** Brings the own word to disk, then to the others; joins the group once there is one. */
     private void settle() {
         try {
@@ -333,11 +396,24 @@
         String objection = pooler.objection(document.content());
         switch (adoption.accepted(document, objection)) {
             case ADOPT -> {
+                String version = Acting.version(document);
+                if (acting != null && !acting.adopts(version, document.index(), loop.now())) {
+                    end(Replica.DISK);
+                    return;
+                }
                 Log.info("store: adopted revision %s, change %s, digest %s", document.revision(), document.index(),
                         document.digest());
                 pooler.adopt(document);
+                if (acting != null) {
+                    pooler.reached(() -> loop.post(() -> acting.acts(version, document.index(), loop.now())));
+                }
+            }
+            case UNREADABLE -> {
+                Log.error("store: %s", adoption.acting());
+                if (acting != null) {
+                    acting.refuses(Acting.version(document), document.index(), loop.now(), adoption.unreadable());
+                }
             }
-            case UNREADABLE -> Log.error("store: %s", adoption.acting());
             default -> {
                 // The one that is acted on.
             }
@@ -369,6 +445,9 @@
         String line = adoption.touch(leader != null, loop.now());
         if (line != null) {
             Log.warn("store: %s", line);
+            if (acting != null) {
+                acting.inTouch(!adoption.cutOff(), loop.now());
+            }
         }
         Founding.Phase phase = log.word().phase();
         if (phase == Founding.Phase.ALONE || phase == Founding.Phase.BOUND) {
@@ -381,6 +460,9 @@
             takeOver.lead(replica, document -> pooler.objection(document) == null,
                     (session, position) -> outbox.add(session, position, loop.now()));
         }
+        if (acting != null && pooler != null) {
+            acting.tick(leading, loop.now());
+        }
         pump();
         loop.after(TICK, this::tick);
     }
@@ -512,6 +594,11 @@
         return pooler;
     }
 
+    /** Null where it is off. */
+    Acting acting() {
+        return acting;
+    }
+
     Adoption adoption() {
         return adoption;
     }
--- a/group/src/main/java/lupinvalve/replication/Json.java
+++ b/group/src/main/java/lupinvalve/replication/Json.java
@@ -33,6 +33,22 @@
         return text.toString();
     }
 
+    /** An object with more fields behind its own. */
+    static String with(String object, Fields more) {
+        StringWriter text = new StringWriter();
+        try (JsonParser in = JSON.createParser(object); JsonGenerator out = JSON.createGenerator(text)) {
+            for (JsonToken token = in.nextToken(); token != null; token = in.nextToken()) {
+                if (token == JsonToken.END_OBJECT && in.getParsingContext().inRoot()) {
+                    more.to(out);
+                }
+                out.copyCurrentEvent(in);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
     /** A document without its secrets: what is named password, secret or key. */
     static String masked(byte[] document) throws IOException {
         StringWriter text = new StringWriter();
--- a/group/src/main/java/lupinvalve/replication/Questions.java
+++ b/group/src/main/java/lupinvalve/replication/Questions.java
@@ -4,12 +4,14 @@
 import io.microraft.report.RaftNodeReport;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import lupinvalve.audit.Leases;
 import lupinvalve.ledger.Change;
 import lupinvalve.ledger.Encoding;
 import lupinvalve.ledger.Founding;
@@ -22,6 +24,7 @@
 final class Questions {
     /** How long a call that another member forwarded may take, a change of members in all, and the pause between its steps. */
     static final long FORWARDED = 3_000_000;
+    private static final long STRICT_WITHIN = 6_000_000, STRICT_STEP = 20_000;
     private static final long MEMBERS_WITHIN = 20_000_000, STEP = 50_000;
     private final Group group;
 
@@ -50,7 +53,8 @@
                 answer.accept(new Messages.Answer(call.id(), Messages.Code.AGAIN, "no majority is in touch: no leader"));
             } else {
                 group.peers().call(group.leader(), call.name().equals("propose") ? "propose" : ">" + call.name(), call.arguments(),
-                        call.name().equals("add") || call.name().equals("remove") ? MEMBERS_WITHIN + FORWARDED : FORWARDED,
+                        call.name().equals("add") || call.name().equals("remove") ? MEMBERS_WITHIN + FORWARDED
+                                : FORWARDED + STRICT_WITHIN,
                         got -> answer.accept(new Messages.Answer(call.id(), got.code(), got.text())));
             }
         } catch (IOException | IllegalArgumentException e) {
@@ -65,8 +69,11 @@
                     outcome -> "{}"));
             case "get" -> group.replica().upToDate(told(call, answer, ok -> document(call)));
             case "put" -> put(call, answer);
-            case "hold" -> group.replica().propose(new Change.Hold(holding(call), argument(call, 2), group.loop().now()), taken(call, answer));
-            case "release" -> group.replica().propose(new Change.Release(holding(call)), taken(call, answer));
+            case "hold" -> group.replica().propose(new Change.Hold(holding(call), argument(call, 2), group.loop().now()),
+                    taken(call, strict(call, 3, answer)));
+            case "release" -> group.replica().propose(new Change.Release(holding(call)), taken(call, strict(call, 2, answer)));
+            case "lease" -> lease(call, answer);
+            case "audit" -> audit(call, answer);
             case "holds" -> group.replica().upToDate(told(call, answer, ok -> holds()));
             case "members" -> group.replica().report(told(call, answer, this::members));
             case "add", "remove" -> change(new Membership.Wish(name.equals("add"), argument(call, 0)),
@@ -131,11 +138,107 @@
         byte[] document = call.arguments().get(1);
         // Checked whole before it is proposed: what a majority accepts is a configuration that can be acted on.
         String objection = group.pooler().objection(document);
+        Ledger.Document holds = group.replica().ledger().document();
+        if (objection == null) {
+            objection = group.pooler().refusal(holds == null ? null : holds.content(), document);
+        }
         if (objection != null) {
             answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, objection));
             return;
         }
-        group.replica().propose(new Change.Put(expected, document), taken(call, answer));
+        group.replica().propose(new Change.Put(expected, document), taken(call, strict(call, 2, answer)));
+    }
+
+    /** Another member asks for a lease, or this one's own operator sees why there is none. */
+    private void lease(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
+        Leases.Granted granted = group.acting() == null ? new Leases.Granted(0, "audit is off at the leader")
+                : group.acting().grant(argument(call, 0), Long.parseLong(argument(call, 1)), argument(call, 2));
+        Messages.Code code = granted.lengthMicros() > 0 ? Messages.Code.OK
+                : granted.why().isEmpty() ? Messages.Code.AGAIN : Messages.Code.REFUSED;
+        answer.accept(new Messages.Answer(call.id(), code, granted.lengthMicros() > 0 ? Long.toString(granted.lengthMicros())
+                : granted.why()));
+    }
+
+    private void audit(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
+        List<String> question = new ArrayList<>();
+        for (int i = 0; i < call.arguments().size(); i++) {
+            question.add(argument(call, i));
+        }
+        if (question.equals(List.of("stragglers"))) {
+            if (group.acting() == null) {
+                throw new IOException("audit is off at the leader");
+            }
+            group.replica().report(told(call, answer, this::stragglers));
+            return;
+        }
+        group.replica().upToDate((fate, ok) -> {
+            try {
+                answer.accept(new Messages.Answer(call.id(), code(fate), fate != Replica.Fate.DONE ? words(fate)
+                        : AuditAnswers.answer(AuditAnswers.course(group.replica().ledger().noted().values()), question)));
+            } catch (IOException e) {
+                answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, e.getMessage()));
+            }
+        });
+    }
+
+    private String stragglers(RaftNodeReport report) {
+        return Json.object(out -> {
+            out.writeArrayFieldStart("stragglers");
+            for (Map.Entry<String, String> one : group.acting().stragglers(voters(report)).entrySet()) {
+                out.writeStartObject();
+                out.writeStringField("pooler", one.getKey());
+                out.writeStringField("why", one.getValue());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        });
+    }
+
+    private List<String> voters(RaftNodeReport report) {
+        return view(report).voting().stream().map(Identity::name).toList();
+    }
+
+    /**
+     * For a call that is strict, an answer that waits until each pooler acts on what was accepted or may act no more; then it tells
+     * who was waited for last.
+     */
+    private Consumer<Messages.Answer> strict(Messages.Call call, int at, Consumer<Messages.Answer> answer) throws IOException {
+        if (call.arguments().size() <= at || !argument(call, at).equals("strict")) {
+            return answer;
+        }
+        if (group.acting() == null) {
+            throw new IOException("strict changes need store.audit at the leader, and at each member");
+        }
+        long asked = group.loop().now();
+        return done -> {
+            if (done.code() != Messages.Code.OK) {
+                answer.accept(done);
+                return;
+            }
+            long index = group.replica().ledger().applied();
+            group.acting().strict(index);
+            settle(done, index, asked, List.of(), answer);
+        };
+    }
+
+    private void settle(Messages.Answer done, long index, long asked, List<String> before, Consumer<Messages.Answer> answer) {
+        group.replica().report((fate, report) -> {
+            List<String> poolers = fate != Replica.Fate.DONE ? null : voters(report);
+            List<String> left = poolers == null ? null : group.acting().waitedFor(index, poolers);
+            long took = group.loop().now() - asked;
+            if (left == null || took > STRICT_WITHIN) {
+                answer.accept(new Messages.Answer(done.id(), Messages.Code.UNKNOWN, left == null
+                        ? "accepted, but the leader changed before all were known to act on it"
+                        : "accepted, but not known to be acted on by " + left));
+            } else if (left.isEmpty()) {
+                answer.accept(new Messages.Answer(done.id(), Messages.Code.OK, Json.with(done.text(), out -> {
+                    out.writeStringField("waited_for", String.join(", ", before));
+                    out.writeNumberField("strict_ms", took / 1000);
+                })));
+            } else {
+                group.loop().after(STRICT_STEP, () -> settle(done, index, asked, left, answer));
+            }
+        });
     }
 
     private String document(Messages.Call call) {
@@ -269,6 +372,11 @@
         out.writeStringField("digest", running == null ? "" : running.digest());
         out.writeNumberField("adopted_change", running == null ? 0 : running.index());
         out.writeNumberField("applied_change", ledger.applied());
+        if (group.acting() != null) {
+            out.writeNumberField("acting_change", group.acting().acting());
+            out.writeNumberField("lease_ms", group.acting().leaseMicros() / 1000);
+            out.writeStringField("shut_out", group.acting().shutOut());
+        }
         out.writeNumberField("sessions", ledger.sessionCount());
         out.writeNumberField("holds", ledger.holds().size());
         out.writeNumberField("listed_nodes", ledger.listing().nodes().size());
--- a/group/src/main/java/lupinvalve/replication/SegmentedLog.java
+++ b/group/src/main/java/lupinvalve/replication/SegmentedLog.java
@@ -80,7 +80,7 @@
         List<String> names = disk.names();
         if (names.contains(IDENTITY)) {
             log.identity(name);
-        } else if (names.isEmpty()) {
+        } else if (names.stream().noneMatch(file -> file.startsWith(SEGMENT) || file.startsWith(SNAPSHOT))) {
             log.keep(new Founding.Word(new Identity(name, diskName), Founding.Phase.ALONE, Set.of()));
         } else {
             throw new Frames.Damaged(IDENTITY + " is missing beside " + names.get(0));
--- a/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
+++ b/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
@@ -12,7 +12,7 @@
  * Real daemons before stand-in db nodes, with a proxy on every pair and faults from a scenario file or a seed. Exit code 1
  * where a request had no final answer, a write ran twice, or members went apart.
  */
-public final class ProcessDrill implements Lab.Command {
+public final class ProcessDrill extends DrillOptions {
     private static final int SHOWN = 20;
 
     @Option(name = "--poolers", usage = "3 to 9")
@@ -21,12 +21,6 @@
     @Option(name = "--groups", usage = "db sets of three db nodes each")
     private int groups = 2;
 
-    @Option(name = "--seconds", usage = "how long faults go on")
-    private int seconds = 40;
-
-    @Option(name = "--seed", usage = "what faults come, and when")
-    private long seed = 7;
-
     @Option(name = "--mix", usage = "what kinds are drawn: all, store, one-way, flapping")
     private String mix = "all";
 
@@ -36,18 +30,9 @@
     @Option(name = "--timeline", metaVar = "FILE", usage = "writes what was done, as a scenario that replays it")
     private Path timeline;
 
-    @Option(name = "--config", metaVar = "FILE", usage = "a platform's file to start from")
-    private Path config = Path.of("example/config.json");
-
     @Option(name = "--lying-disks", usage = "a double: killed poolers lose the end of what their disks said was forced")
     private boolean lying;
 
-    @Option(name = "--keep", usage = "keep the folder with the logs")
-    private boolean keep;
-
-    @Option(name = "--json", usage = "only the last line")
-    private boolean json;
-
     private Scenario chosen() throws java.io.IOException {
         if (scenario != null) {
             return Scenario.read(scenario.toString(), Files.readString(scenario));
@@ -63,7 +48,7 @@
 
     @Override
     public int run(PrintStream out) throws Exception {
-        return run(out, chosen(), seed, config, lying, keep, json, 0, timeline);
+        return run(out, this, chosen(), lying, 0, timeline);
     }
 
     /**
@@ -71,10 +56,10 @@
      *
      * @param leaderKillsMillis how long nothing but leaders are killed, in place of the scenario's steps; 0 for those
      */
-    static int run(PrintStream out, Scenario scenario, long seed, Path config, boolean lying, boolean keep, boolean json,
-            long leaderKillsMillis, Path timeline) throws Exception {
-        PrintStream log = json ? new PrintStream(java.io.OutputStream.nullOutputStream()) : out;
-        Drill drill = new Drill(new Drill.Setting(scenario, config, seed, lying, log, java.util.List.of(), 0));
+    static int run(PrintStream out, DrillOptions told, Scenario scenario, boolean lying, long leaderKillsMillis, Path timeline)
+            throws Exception {
+        PrintStream log = told.log(out);
+        Drill drill = new Drill(new Drill.Setting(scenario, told.config, told.seed, lying, log, java.util.List.of(), 0, "off"));
         try {
             drill.start();
             if (leaderKillsMillis > 0) {
@@ -90,8 +75,8 @@
             out.println(result.json());
             return result.good() ? 0 : 1;
         } finally {
-            drill.close(keep);
-            if (keep) {
+            drill.close(told.keep);
+            if (told.keep) {
                 out.println("kept: " + drill.folder());
             }
         }
--- a/ledger/src/main/java/lupinvalve/ledger/Adoption.java
+++ b/ledger/src/main/java/lupinvalve/ledger/Adoption.java
@@ -66,6 +66,11 @@
         return unreadable == null ? on : on + "; " + unreadable;
     }
 
+    /** Why what holds can't be acted on, or empty. */
+    public String unreadable() {
+        return unreadable == null ? "" : unreadable;
+    }
+
     public boolean cutOff() {
         return cut;
     }
--- a/ledger/src/main/java/lupinvalve/ledger/Change.java
+++ b/ledger/src/main/java/lupinvalve/ledger/Change.java
@@ -50,6 +50,13 @@
         }
     }
 
+    /** Entries that a pooler noted of itself, numbered on from the first; what is in them is its own matter. */
+    record Noted(String pooler, long life, long first, List<byte[]> entries) implements Change {
+        public Noted {
+            entries = List.copyOf(entries);
+        }
+    }
+
     /** Where a member of the group is reached by the others. */
     record Place(String member, String address) implements Change {}
 }
--- a/ledger/src/main/java/lupinvalve/ledger/Encoding.java
+++ b/ledger/src/main/java/lupinvalve/ledger/Encoding.java
@@ -12,7 +12,8 @@
 public final class Encoding {
     /** Sessions to a piece of a snapshot, so that pieces stay well under what the wire takes at once. */
     private static final int PIECE = 4000;
-    private static final int FORMAT = 1;
+    /** The second has what poolers noted; it is written only where there is any, so that older programs read the rest. */
+    private static final int FORMAT = 1, WITH_NOTES = 2;
 
     private Encoding() {}
 
@@ -33,6 +34,9 @@
             listing(out.number(5), listing);
         } else if (change instanceof Change.Place place) {
             out.number(6).text(place.member()).text(place.address());
+        } else if (change instanceof Change.Noted noted) {
+            out.number(7).text(noted.pooler()).number(noted.life()).number(noted.first()).number(noted.entries().size());
+            noted.entries().forEach(out::bytes);
         } else {
             out.number(0);
         }
@@ -50,6 +54,7 @@
             case 4 -> new Change.Commits(in.number(), positions(in));
             case 5 -> listing(in);
             case 6 -> new Change.Place(in.text(), in.text());
+            case 7 -> new Change.Noted(in.text(), in.number(), in.number(), entries(in));
             default -> throw new IOException("a change of the unknown kind " + kind);
         };
         if (!in.ended()) {
@@ -75,6 +80,14 @@
         return positions;
     }
 
+    private static List<byte[]> entries(Cbor.In in) throws IOException {
+        List<byte[]> entries = new ArrayList<>();
+        for (int left = in.count(Ledger.NOTED_AT_ONCE); left > 0; left--) {
+            entries.add(in.bytes());
+        }
+        return entries;
+    }
+
     private static void listing(Cbor.Out out, Change.Listing listing) {
         out.number(listing.revision()).number(listing.nodes().size());
         for (Change.Listed listed : listing.nodes()) {
@@ -109,7 +122,8 @@
     /** The whole state in pieces: the first one has all but the sessions. */
     public static List<byte[]> snapshot(Ledger ledger) {
         List<byte[]> pieces = new ArrayList<>();
-        Cbor.Out head = new Cbor.Out().number(FORMAT).number(ledger.applied()).number(ledger.sessions().latest());
+        Cbor.Out head = new Cbor.Out().number(ledger.noted().isEmpty() ? FORMAT : WITH_NOTES)
+                .number(ledger.applied()).number(ledger.sessions().latest());
         Ledger.Document document = ledger.document();
         head.flag(document != null);
         if (document != null) {
@@ -120,7 +134,12 @@
         head.number(ledger.places().size());
         ledger.places().forEach((member, address) -> head.text(member).text(address));
         listing(head, ledger.listing());
+        List<byte[]> notes = notes(ledger);
+        if (!notes.isEmpty()) {
+            head.number(notes.size());
+        }
         pieces.add(head.done());
+        pieces.addAll(notes);
         Map<String, Long> some = new java.util.LinkedHashMap<>();
         ledger.sessions().each((session, position) -> {
             some.put(session, position);
@@ -135,6 +154,18 @@
         return pieces;
     }
 
+    private static List<byte[]> notes(Ledger ledger) {
+        List<byte[]> pieces = new ArrayList<>();
+        List<Map.Entry<String, byte[]>> all = List.copyOf(ledger.noted().entrySet());
+        for (int from = 0; from < all.size(); from += PIECE) {
+            List<Map.Entry<String, byte[]>> some = all.subList(from, Math.min(all.size(), from + PIECE));
+            Cbor.Out out = new Cbor.Out().number(some.size());
+            some.forEach(note -> out.text(note.getKey()).bytes(note.getValue()));
+            pieces.add(out.done());
+        }
+        return pieces;
+    }
+
     /** All sessions' commits as one change. */
     public static Change.Commits commits(Ledger ledger) {
         Map<String, Long> all = new HashMap<>();
@@ -152,8 +183,8 @@
     public static void restore(Ledger ledger, List<byte[]> pieces) throws IOException {
         Cbor.In in = new Cbor.In(pieces.get(0));
         long format = in.number();
-        if (format != FORMAT) {
-            throw new IOException("a snapshot of format " + format + "; this program reads " + FORMAT);
+        if (format != FORMAT && format != WITH_NOTES) {
+            throw new IOException("a snapshot of format " + format + "; this program reads " + FORMAT + " and " + WITH_NOTES);
         }
         long index = in.number();
         long latest = in.number();
@@ -172,8 +203,17 @@
         for (int left = in.count(Ledger.PLACES_MOST); left > 0; left--) {
             places.put(in.text(), in.text());
         }
-        ledger.restore(index, document, holds, places, listing(in));
-        for (byte[] piece : pieces.subList(1, pieces.size())) {
+        Change.Listing listing = listing(in);
+        int noted = format == WITH_NOTES ? in.count(pieces.size() - 1) : 0;
+        Map<String, byte[]> notes = new java.util.LinkedHashMap<>();
+        for (byte[] piece : pieces.subList(1, 1 + noted)) {
+            Cbor.In some = new Cbor.In(piece);
+            for (int left = some.count(PIECE); left > 0; left--) {
+                notes.put(some.text(), some.bytes());
+            }
+        }
+        ledger.restore(index, document, holds, places, listing, notes);
+        for (byte[] piece : pieces.subList(1 + noted, pieces.size())) {
             ledger.sessions().take(latest, positions(new Cbor.In(piece)));
         }
     }
--- a/ledger/src/main/java/lupinvalve/ledger/Ledger.java
+++ b/ledger/src/main/java/lupinvalve/ledger/Ledger.java
@@ -2,7 +2,10 @@
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Collections;
 import java.util.HexFormat;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,7 +17,7 @@
 public final class Ledger {
     /** Bounds of what operators and poolers may put in. */
     public static final int DOCUMENT_MOST = 1 << 20, HOLDS_MOST = 1000, NAME_MOST = 200, LISTED_MOST = 4096,
-            PLACES_MOST = 64;
+            PLACES_MOST = 64, NOTED_MOST = 20_000, NOTED_AT_ONCE = 200, NOTE_MOST = 2_000;
 
     /** How a change was taken. */
     public enum Result { DONE, UNCHANGED, CONFLICT, TOO_MUCH }
@@ -37,6 +40,8 @@
     private final TreeMap<Change.Holding, Held> holds = new TreeMap<>();
     private final TreeMap<String, String> places = new TreeMap<>();
     private final Sessions sessions = new Sessions();
+    /** By pooler, life and number; those that came first go first once there are too many. */
+    private final LinkedHashMap<String, byte[]> noted = new LinkedHashMap<>();
     private Change.Listing listing = new Change.Listing(0, List.of());
 
     /** Takes the change with the given index of the history. */
@@ -63,6 +68,8 @@
                 return Result.TOO_MUCH;
             }
             listing = next;
+        } else if (change instanceof Change.Noted news) {
+            return note(news);
         } else if (change instanceof Change.Place place) {
             return place(place);
         } else {
@@ -93,6 +100,28 @@
         return Result.DONE;
     }
 
+    private Result note(Change.Noted news) {
+        if (news.entries().size() > NOTED_AT_ONCE || news.pooler().length() > NAME_MOST
+                || news.entries().stream().anyMatch(entry -> entry.length > NOTE_MOST)) {
+            return Result.TOO_MUCH;
+        }
+        long number = news.first();
+        for (byte[] entry : news.entries()) {
+            noted.putIfAbsent(news.pooler() + "/" + news.life() + "/" + number++, entry);
+        }
+        Iterator<byte[]> eldest = noted.values().iterator();
+        while (noted.size() > NOTED_MOST) {
+            eldest.next();
+            eldest.remove();
+        }
+        return Result.DONE;
+    }
+
+    /** What poolers noted of themselves, by pooler, life and number, in the order in which it came. */
+    public Map<String, byte[]> noted() {
+        return Collections.unmodifiableMap(noted);
+    }
+
     private Result place(Change.Place place) {
         if (place.address().equals(places.get(place.member()))) {
             return Result.UNCHANGED;
@@ -145,7 +174,9 @@
 
     /** Becomes what a snapshot says. */
     void restore(long index, Document accepted, Map<Change.Holding, Held> held, Map<String, String> placed,
-            Change.Listing listed) {
+            Change.Listing listed, Map<String, byte[]> notes) {
+        noted.clear();
+        noted.putAll(notes);
         applied = index;
         document = accepted;
         holds.clear();
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import lupinvalve.core.Loop;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -59,6 +60,7 @@
     private final AtomicInteger ahead = new AtomicInteger();
     /** The core wants no more to be read for now; and it wants to know once the peer has read most of what was written. */
     private volatile boolean held;
+    private volatile BooleanSupplier fence;
     private volatile Runnable room;
     private volatile long roomFrom;
     // The core's side.
@@ -90,6 +92,15 @@
         int run() throws Exception;
     }
 
+    /** Whether what it was dialled for may no longer go out. */
+    boolean isShut() {
+        return fence != null && !fence.getAsBoolean();
+    }
+
+    void fence(BooleanSupplier open) {
+        fence = open;
+    }
+
     /** Reads, unless the core has decided to end the connection. */
     int read(Read read) throws Exception {
         synchronized (gate) {
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import lupinvalve.core.Loop;
 import lupinvalve.log.Log;
@@ -37,6 +38,7 @@
 
     private final Loop loop;
     private final boolean urgent;
+    private volatile BooleanSupplier fence;
     private final Room memory = new Room(UNFINISHED_MOST);
     private final Executor threads = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(null, work, "net", 256 << 10);
@@ -96,6 +98,15 @@
             Link link = (Link) session.getAttribute(LINK);
             return link == null ? super.read(session, in) : link.read(() -> super.read(session, in));
         }
+
+        @Override
+        protected int write(NioSession session, IoBuffer out, int length) throws IOException {
+            Link link = (Link) session.getAttribute(LINK);
+            if (link != null && link.isShut()) {
+                throw new IOException("what was decided may no longer go out");
+            }
+            return super.write(session, out, length);
+        }
     }
 
     private static void setUp(SocketSessionConfig config) {
@@ -230,9 +241,15 @@
         }
     }
 
+    /** Nothing more goes out on connections that were dialled while this says no; before the first is. */
+    public void fence(BooleanSupplier open) {
+        fence = open;
+    }
+
     @Override
     public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
         Link link = new Link(loop, framer, events, memory, urgent);
+        link.fence(fence);
         if (address.isUnresolved() || connector.isDisposing()) {
             link.ended();
             return link;
--- a/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -9,13 +9,14 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** One daemon through all its lives: the program as it ships, in a process of its own. Ends only what it started. */
 public final class DaemonProcess implements Closeable {
-    private static final int END_SECONDS = 10;
+    private static final int END_SECONDS = 10, TORN_MILLIS = 60;
     public final String name;
     private final Path config, operator, said;
     private final Consumer<String> lines;
@@ -46,6 +47,22 @@
         Files.writeString(operator, operators);
     }
 
+    /** Leaves a file half written for a moment, as an editor may, and has the daemon read it anew both times. */
+    public void reload() throws IOException, InterruptedException {
+        byte[] whole = Files.readAllBytes(config);
+        Files.write(config, Arrays.copyOf(whole, whole.length / 2));
+        signal("HUP");
+        Thread.sleep(TORN_MILLIS);
+        Files.write(config, whole);
+        signal("HUP");
+    }
+
+    private void signal(String which) throws IOException, InterruptedException {
+        if (runs()) {
+            new ProcessBuilder("kill", "-" + which, Long.toString(process.pid())).start().waitFor();
+        }
+    }
+
     public void start() throws IOException {
         startedAt = System.nanoTime();
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -82,17 +99,15 @@
 
     /** Stops the process where it stands, or lets it go on. */
     public void pause(boolean now) throws IOException, InterruptedException {
-        if (runs() && paused != now) {
-            new ProcessBuilder("kill", now ? "-STOP" : "-CONT", Long.toString(process.pid())).start().waitFor();
+        if (paused != now) {
+            signal(now ? "STOP" : "CONT");
         }
         paused = now && runs();
     }
 
     /** Lets a process go on that has stopped itself. */
     public void wake() throws IOException, InterruptedException {
-        if (runs()) {
-            new ProcessBuilder("kill", "-CONT", Long.toString(process.pid())).start().waitFor();
-        }
+        signal("CONT");
     }
 
     public void kill() throws InterruptedException {
--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -45,9 +45,10 @@
      *
      * @param launcher class and arguments that stand before those of the daemon in the first life of p0; empty for none
      * @param paceMillis how long each operator rests between two calls
+     * @param audit what the poolers' files say of it: off, serve or fence
      */
     public record Setting(Scenario scenario, Path config, long seed, boolean lyingDisks, PrintStream log,
-            List<String> launcher, long paceMillis) {}
+            List<String> launcher, long paceMillis, String audit) {}
 
     /** One pooler with all that leads to it and from it. */
     private final class Pooler {
@@ -75,6 +76,7 @@
         }
 
         private void said(String line) {
+            watcher.line(name, line, System.currentTimeMillis());
             Matcher adoption = ADOPTED.matcher(line);
             if (adoption.find()) {
                 adopted = Long.parseLong(adoption.group(1));
@@ -110,7 +112,7 @@
                 }
             }
             process.files(platform, "{\"store\":{\"cluster\":\"" + StoreClients.CLUSTER + "\",\"name\":\"" + name
-                    + "\",\"folder\":\"" + folder.resolve(name) + "\",\"listen\":\"127.0.0.1:" + store + "\",\"members\":{"
+                    + "\",\"folder\":\"" + folder.resolve(name) + "\",\"audit\":\"" + setting.audit() + "\",\"listen\":\"127.0.0.1:" + store + "\",\"members\":{"
                     + places + "}}}");
         }
 
@@ -152,6 +154,17 @@
         }
     }
 
+    /** Hears what happens while a drill runs; times in Unix milliseconds. */
+    public interface Watcher {
+        /** A db node ran a statement that came from a pooler. */
+        default void ran(String node, String pooler, long at) {
+        }
+
+        /** A pooler wrote a line to its log. */
+        default void line(String pooler, String line, long at) {
+        }
+    }
+
     private record Due(long at, long order, Step step, boolean undo) {}
 
     private final Setting setting;
@@ -168,13 +181,17 @@
     private final List<Step> course = new ArrayList<>();
     private final List<String> unclean = new ArrayList<>();
     private volatile String leader, pointMet;
+    private volatile Watcher watcher = new Watcher() { };
     private volatile boolean over;
 
     /** Sets all up; nothing runs yet. */
     public Drill(Setting setting) throws IOException {
         this.setting = setting;
         Scenario scenario = setting.scenario();
-        nodes = new DbNodes(scenario.groups(), (node, pooler, fields, write) -> book.ran(fields.getOrDefault("id", "?"), node.id));
+        nodes = new DbNodes(scenario.groups(), (node, pooler, fields, write) -> {
+            book.ran(fields.getOrDefault("id", "?"), node.id);
+            watcher.ran(node.id, pooler, System.currentTimeMillis());
+        });
         Map<String, String> places = new TreeMap<>();
         // Held until the proxies have theirs.
         try (Scratch.Ports ports = new Scratch.Ports(2 * scenario.poolers())) {
@@ -197,6 +214,18 @@
         }
     }
 
+    /** Has somebody hear what happens; before {@link #start}. */
+    public void watch(Watcher by) {
+        watcher = by;
+    }
+
+    /** Addresses of all members, past all proxies. */
+    public Map<String, String> places() {
+        Map<String, String> places = new TreeMap<>();
+        poolers.forEach(p -> places.put(p.name, "127.0.0.1:" + p.store));
+        return places;
+    }
+
     private interface Holds {
         boolean now() throws IOException;
     }
@@ -320,7 +349,7 @@
                 }
             }
             case RESTART -> {
-                if (on && pooler(step.who()).process.runs()) {
+                if (on && pooler(step.who()).process.runs() && SqlClients.takes(pooler(step.who()).pg)) {
                     String wrong = pooler(step.who()).process.end();
                     if (wrong != null) {
                         unclean.add(wrong);
@@ -328,6 +357,11 @@
                     pooler(step.who()).start();
                 }
             }
+            case RELOAD -> {
+                if (on && !pooler(step.who()).process.paused()) {
+                    pooler(step.who()).process.reload();
+                }
+            }
             default -> pause(pooler(step.who()), on);
         }
     }
@@ -473,6 +507,11 @@
             return requests.good() && divergent.isEmpty() && lostPuts == 0 && unclean.isEmpty();
         }
 
+        /** How many requests clients made. */
+        public int requests() {
+            return requests.requests();
+        }
+
         /** All that was found wrong. */
         public List<String> findings() {
             List<String> all = new ArrayList<>(requests.findings());
@@ -488,14 +527,15 @@
         /** One JSON object; times in milliseconds. */
         public String json() {
             return String.format(Locale.ROOT, "{\"poolers\":%d,\"seed\":%d,\"kills\":%d,\"cuts\":%d,\"one_way_cuts\":%d,"
-                    + "\"flaps\":%d,\"slow_links\":%d,\"half_open\":%d,\"pauses\":%d,\"restarts\":%d,\"node_faults\":%d,"
+                    + "\"flaps\":%d,\"slow_links\":%d,\"half_open\":%d,\"pauses\":%d,\"restarts\":%d,\"reloads\":%d,"
+                    + "\"node_faults\":%d,"
                     + "\"requests\":%d,\"served\":%d,\"refused\":%d,\"failed\":%d,\"lost\":%d,\"doubled\":%d,\"divergent\":%d,"
                     + "\"unanswered\":%d,\"refused_ran\":%d,\"stale\":%d,\"unclean\":%d,\"acknowledged\":%d,\"elections\":%d,"
                     + "\"failovers\":%d,\"failover_p50_ms\":%.0f,\"failover_p99_ms\":%.0f,\"commit_p50_ms\":%.1f,"
                     + "\"commit_p99_ms\":%.1f,\"recovery_p99_ms\":%.0f}", poolers.size(), setting.seed(),
                     count(Step.Kind.KILL, Step.Kind.POWER), count(Step.Kind.CUT), count(Step.Kind.CUT_THERE),
                     count(Step.Kind.FLAP), count(Step.Kind.SLOW, Step.Kind.LIMIT, Step.Kind.LOSSY), count(Step.Kind.HALF_OPEN),
-                    count(Step.Kind.PAUSE), count(Step.Kind.RESTART), count(Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE,
+                    count(Step.Kind.PAUSE), count(Step.Kind.RESTART), count(Step.Kind.RELOAD), count(Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE,
                     Step.Kind.NODE_SLOW), requests.requests(), requests.count(Book.Ending.SERVED),
                     requests.count(Book.Ending.REFUSED), requests.count(Book.Ending.FAILED), requests.lost() + lostPuts,
                     requests.doubled(), divergent.size(), requests.unanswered(), requests.refusedRan(), requests.stale(),
--- a/rig/src/main/java/lupinvalve/rig/PointPlay.java
+++ b/rig/src/main/java/lupinvalve/rig/PointPlay.java
@@ -70,7 +70,7 @@
 
     private static Played play(Path config, long seed, At at, List<String> launcher) throws IOException, InterruptedException {
         Drill drill = new Drill(new Drill.Setting(new Scenario(MEMBERS, 0, List.of()), config, seed, false,
-                new PrintStream(OutputStream.nullOutputStream()), launcher, PACE_MILLIS));
+                new PrintStream(OutputStream.nullOutputStream()), launcher, PACE_MILLIS, "serve"));
         List<String> findings = new ArrayList<>();
         String json = "";
         try {
--- a/rig/src/main/java/lupinvalve/rig/Scenario.java
+++ b/rig/src/main/java/lupinvalve/rig/Scenario.java
@@ -184,11 +184,13 @@
                 Step.Kind.CUT, Step.Kind.POWER),
         /** Cuts that one side alone notices. */
         ONE_WAY(Step.Kind.CUT_THERE),
+        /** What separates a pooler from the group: for the audit. */
+        AUDIT(Step.Kind.KILL, Step.Kind.PAUSE, Step.Kind.PAUSE, Step.Kind.CUT, Step.Kind.CUT_THERE, Step.Kind.RESTART),
         /** Links that come and go. */
         FLAPPING(Step.Kind.FLAP),
         /** All there is. */
-        ALL(Step.Kind.KILL, Step.Kind.KILL, Step.Kind.PAUSE, Step.Kind.PAUSE, Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.CUT, Step.Kind.CUT_THERE,
-                Step.Kind.CUT_THERE, Step.Kind.FLAP, Step.Kind.SLOW, Step.Kind.LOSSY, Step.Kind.LIMIT, Step.Kind.HALF_OPEN,
+        ALL(Step.Kind.KILL, Step.Kind.KILL, Step.Kind.PAUSE, Step.Kind.PAUSE, Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.RELOAD, Step.Kind.CUT,
+                Step.Kind.CUT_THERE, Step.Kind.CUT_THERE, Step.Kind.FLAP, Step.Kind.SLOW, Step.Kind.LOSSY, Step.Kind.LIMIT, Step.Kind.HALF_OPEN,
                 Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE, Step.Kind.NODE_SLOW, Step.Kind.POWER);
 
         private final Step.Kind[] kinds;
@@ -214,7 +216,9 @@
                     || kind == Step.Kind.POWER && !spare) {
                 continue;
             }
-            if (kind == Step.Kind.POWER) {
+            if (kind == Step.Kind.RELOAD) {
+                steps.add(new Step(at, kind, "p" + one, "", 0, 0));
+            } else if (kind == Step.Kind.POWER) {
                 java.util.Arrays.fill(downUntil, until + 3_000);
                 steps.add(new Step(at, kind, Step.ALL, "", 0, until - at));
             } else if (kind.ofNode()) {
--- a/rig/src/main/java/lupinvalve/rig/Step.java
+++ b/rig/src/main/java/lupinvalve/rig/Step.java
@@ -26,6 +26,8 @@
         POWER(false, false),
         /** SIGTERM, and a start at once. */
         RESTART(false, false),
+        /** SIGHUP on a file that is written half, then on the whole one. */
+        RELOAD(false, false),
         /** SIGSTOP, then SIGCONT. */
         PAUSE(false, false),
         /** Both directions swallow all. */
--- a/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
+++ b/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
@@ -21,12 +21,13 @@
             new Step(2_200, Step.Kind.CUT_THERE, "p0", "p2", 0, 900),
             new Step(2_400, Step.Kind.NODE_KILL, "n0", "", 0, 1_400),
             new Step(3_300, Step.Kind.PAUSE, "p2", "", 0, 700),
+            new Step(4_100, Step.Kind.RELOAD, "p0", "", 0, 0),
             new Step(4_200, Step.Kind.RESTART, "p1", "", 0, 0));
 
     @Test
     void threeProcessesComeThroughWithNothingLostDoubledOrUnanswered() throws Exception {
         try (Drill drill = new Drill(new Drill.Setting(new Scenario(3, 2, STEPS), CONFIG, 7, false,
-                new PrintStream(OutputStream.nullOutputStream()), List.of(), 5))) {
+                new PrintStream(OutputStream.nullOutputStream()), List.of(), 5, "off"))) {
             drill.start();
             drill.play();
             Drill.Result result = drill.judge(true);
