Act on nothing that could not be noted, and note on once the disk is good again

Cause, found by reading the change again: AuditBook appended behind a write that had failed, so that a reader takes the file for damaged; SegmentedLog.reopen put the audit's own file in place of itself while it was open, so later entries went to a file without a name; and Group.adopt had taken a configuration for the running one before its entry was forced, so that it would never have been adopted after the disk was good.

Change: a new file behind a failed write; reopen forces the log's own files alone; what could not be noted is not acted on and comes again with the member's next start from its disk.

--- a/group/src/main/java/lupinvalve/replication/AuditBook.java
+++ b/group/src/main/java/lupinvalve/replication/AuditBook.java
@@ -19,6 +19,8 @@
     private static final long CLOCK_ERROR = 20_000;
     private final Disk disk;
     private final String pooler, name;
+    /** Of this life's files: behind a write that failed nothing more is appended. */
+    private int part;
     private final Journal journal;
     private final List<Change.Noted> earlier = new ArrayList<>();
     private Disk.Out out;
@@ -69,13 +71,20 @@
     /** Notes something and forces it; where that fails, it must not be acted on. */
     void note(Entry.What what, String version, long index, long nowMicros, String why) throws IOException {
         List<Entry> added = journal.add(what, version, index, nowMicros, why);
-        if (out == null) {
-            out = disk.create(name);
-        }
-        for (Entry entry : added) {
-            out.write(Frames.frame(entry.write()));
+        try {
+            if (out == null) {
+                out = disk.create(name + (part == 0 ? "" : "-" + part));
+            }
+            for (Entry entry : added) {
+                out.write(Frames.frame(entry.write()));
+            }
+            out.force();
+        } catch (IOException e) {
+            part++;
+            close();
+            out = null;
+            throw e;
         }
-        out.force();
         Log.info("store: audit: %s %s, change %s%s", what.name().toLowerCase(java.util.Locale.ROOT), version, index,
                 why.isEmpty() ? "" : ": " + why);
     }
--- a/group/src/main/java/lupinvalve/replication/Group.java
+++ b/group/src/main/java/lupinvalve/replication/Group.java
@@ -394,10 +394,15 @@
 
     private void adopt(Ledger.Document document) {
         String objection = pooler.objection(document.content());
+        Ledger.Document before = adoption.running();
         switch (adoption.accepted(document, objection)) {
             case ADOPT -> {
                 String version = Acting.version(document);
                 if (acting != null && !acting.adopts(version, document.index(), loop.now())) {
+                    adoption.back(before);
+                    if (replica != null) {
+                        replica.end(Replica.DISK);
+                    }
                     end(Replica.DISK);
                     return;
                 }
--- a/group/src/main/java/lupinvalve/replication/SegmentedLog.java
+++ b/group/src/main/java/lupinvalve/replication/SegmentedLog.java
@@ -98,7 +98,9 @@
      */
     static SegmentedLog reopen(Disk disk, String cluster, String name) throws IOException {
         for (String file : disk.names()) {
-            disk.replace(file, disk.read(file));
+            if (file.equals(IDENTITY) || file.startsWith(SEGMENT) || file.startsWith(SNAPSHOT)) {
+                disk.replace(file, disk.read(file));
+            }
         }
         return open(disk, cluster, name, "");
     }
--- a/ledger/src/main/java/lupinvalve/ledger/Adoption.java
+++ b/ledger/src/main/java/lupinvalve/ledger/Adoption.java
@@ -39,6 +39,11 @@
         return Verdict.ADOPT;
     }
 
+    /** What was just to be adopted could not be noted: the one before, or none, is acted on still. */
+    public void back(Ledger.Document before) {
+        running = before;
+    }
+
     /** The configuration that is acted on, or null. */
     public Ledger.Document running() {
         return running;
