Hold to the six seconds of discovery whatever calls fail, and take lists however they come

Lines at fault: HttpDirectory's WATCH_SILENCE of 4.2 s before anything is asked, CALL of 1.5 s, body() cutting by lines, tell() taking any revision, closed() not asking how; Roster.failed with pauses of up to 4 s. Now a watch silent for 2.6 s gets a successor beside it, calls are given up after 1.2 s (discovery does after 1), pauses end at 1 s; objects are cut by braces; older revisions are not taken unless discovery numbers anew; a reset is no end. Ruled out: the reader, which turns down half a list by itself.

--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/discovery/HttpDirectoryTest.java
@@ -0,0 +1,294 @@
+package lupinvalve.discovery;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import lupinvalve.Routing;
+import lupinvalve.config.NodeConfig;
+import lupinvalve.core.Loop;
+import lupinvalve.core.Pooler;
+import lupinvalve.net.Net;
+import lupinvalve.stories.World;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a pooler makes of a discovery that breaks off, falls silent, overlaps or is late: a scripted one on loopback. */
+class HttpDirectoryTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String PLAIN = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    private static final long SECOND = 1_000_000_000L;
+    private final ServerSocket server;
+    private final BlockingQueue<Socket> calls = new LinkedBlockingQueue<>();
+    private final Loop loop = new Loop();
+    private final Net net = new Net(loop, true);
+    private final Pooler pooler;
+    private final HttpDirectory directory;
+
+    HttpDirectoryTest() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        pooler = new Pooler(loop, NodeConfig.read(Path.of("example/config.json"), null).site().settings());
+        directory = new HttpDirectory(net, pooler, new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                new ListReader(List.of(), null), 5);
+        pooler.directory(directory);
+    }
+
+    @BeforeEach
+    void start() {
+        World.thread(() -> {
+            while (true) {
+                calls.add(server.accept());
+            }
+        });
+        loop.start();
+        loop.post(() -> pooler.start(1, List.of()));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        net.close();
+        loop.stop();
+        server.close();
+        for (Socket call : calls) {
+            call.close();
+        }
+    }
+
+    /** The next call, its request read. */
+    private Socket call() throws Exception {
+        Socket call = calls.poll(10, TimeUnit.SECONDS);
+        assertTrue(call != null, "no call in 10 s");
+        call.setTcpNoDelay(true);
+        InputStream in = call.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) in.read());
+        }
+        return call;
+    }
+
+    private static void say(Socket call, String text) throws IOException {
+        call.getOutputStream().write(text.getBytes(ISO_8859_1));
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String list(int revision, boolean complete, String... ids) {
+        StringBuilder text = new StringBuilder("{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[");
+        for (String id : ids) {
+            text.append(text.charAt(text.length() - 1) == '[' ? "" : ",").append("{\"id\":\"").append(id.replace("-", ""))
+                    .append("\",\"host_port\":\"127.0.0.1:1\",\"cell\":1,\"phase\":\"")
+                    .append(id.startsWith("-") ? "terminated" : "in_service").append("\",\"up_since_ms\":0}");
+        }
+        return text.append("]}").toString();
+    }
+
+    private static void reset(Socket call) throws IOException {
+        call.setSoLinger(true, 0);
+        call.close();
+    }
+
+    private <T> T onCore(Supplier<T> asked) throws Exception {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        loop.post(() -> answer.complete(asked.get()));
+        return answer.get(10, TimeUnit.SECONDS);
+    }
+
+    private boolean lists(String id) {
+        try {
+            return onCore(() -> pooler.lists(id));
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void anObjectMayBeIndentedAndSpreadOverManyChunks() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD);
+        String indented = list(6, true, "a", "b").replace("{", "{\n  ").replace(",", ",\n\t").replace("]", "\r\n ]")
+                .replace("\"b\"", "\"b \\\" } ] \\\\\"") + "\n";
+        for (char c : indented.toCharArray()) {
+            say(watch, chunk(String.valueOf(c)));
+        }
+        World.await("listed", () -> lists("a") && lists("b \" } ] \\"));
+        // Two in one chunk, and a beat between them.
+        say(watch, chunk(list(7, false, "c") + "\n\n" + list(8, false, "-a") + "\n"));
+        World.await("both taken", () -> lists("c") && !lists("a"));
+        assertTrue(calls.isEmpty(), "the watch was given up");
+    }
+
+    @Test
+    void halfAnObjectAndThenBeatsIsABrokenWatch() throws Exception {
+        Socket watch = call();
+        String whole = list(6, true, "a", "b");
+        say(watch, HEAD + chunk(whole.substring(0, whole.length() - 20)));
+        long broken = System.nanoTime();
+        say(watch, chunk("\n") + chunk("\n"));
+        Socket next = call();
+        assertTrue(System.nanoTime() - broken < 2 * SECOND);
+        assertEquals(false, lists("a"));
+        say(next, HEAD + chunk(whole + "\n"));
+        World.await("listed", () -> lists("a") && lists("b"));
+    }
+
+    @Test
+    void halfAnObjectAndThenNothingIsFollowedByTheWholeInSixSeconds() throws Exception {
+        Socket watch = call();
+        String whole = list(6, true, "a");
+        say(watch, HEAD + chunk("\n") + chunk(whole.substring(0, 30)));
+        long silent = System.nanoTime();
+        Socket next = call();
+        say(next, HEAD + chunk(whole + "\n"));
+        World.await("listed", () -> lists("a"));
+        assertTrue(System.nanoTime() - silent < 6 * SECOND);
+    }
+
+    @Test
+    void twoCallsMayFailAndAChangeIsStillKnownSixSecondsAfterItsWatchFellSilent() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        long silent = System.nanoTime();
+        // One is never answered, one is refused.
+        call();
+        Socket refused = call();
+        say(refused, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        Socket third = call();
+        say(third, HEAD + chunk(list(7, false, "-a") + "\n"));
+        World.await("gone", () -> !lists("a"));
+        assertTrue(System.nanoTime() - silent < 6 * SECOND, "took ms " + (System.nanoTime() - silent) / 1_000_000);
+    }
+
+    @Test
+    void afterALongOutageTwoCallsMayFailAndTheListIsKnownSixSecondsAfterItsEnd() throws Exception {
+        // Calls are refused for long enough that its pauses have grown to their most.
+        for (int i = 0; i < 8; i++) {
+            reset(call());
+        }
+        long back = System.nanoTime();
+        call();
+        say(call(), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        say(call(), HEAD + chunk(list(7, true, "b") + "\n"));
+        World.await("listed", () -> lists("b"));
+        assertTrue(System.nanoTime() - back < 6 * SECOND, "took ms " + (System.nanoTime() - back) / 1_000_000);
+    }
+
+    @Test
+    void aWatchThatIsOnlySlowStaysUntilItsSuccessorSpeaks() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a", "b") + "\n"));
+        World.await("listed", () -> lists("a"));
+        Socket next = call();
+        // The successor has a head, but has not said anything: what the first says still counts.
+        say(next, HEAD);
+        say(watch, chunk(list(7, false, "-a") + "\n"));
+        World.await("told by the first", () -> !lists("a"));
+        say(next, chunk(list(8, false, "-b") + "\n"));
+        World.await("told by the next", () -> !lists("b"));
+        watch.setSoTimeout(10_000);
+        assertEquals(-1, watch.getInputStream().read());
+    }
+
+    @Test
+    void whatIsOlderThanWhatIsKnownBringsNothingBack() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a", "b") + "\n"));
+        World.await("listed", () -> lists("a"));
+        onCore(() -> {
+            directory.fetch();
+            return null;
+        });
+        Socket asked = call();
+        say(watch, chunk(list(7, false, "-a") + "\n"));
+        World.await("gone", () -> !lists("a"));
+        // The list was made before that, and arrives behind it; so does an older change.
+        String late = list(6, true, "a", "b");
+        say(asked, "HTTP/1.1 200 OK\r\nContent-Length: " + late.length() + "\r\n\r\n" + late);
+        assertEquals(-1, asked.getInputStream().read());
+        say(watch, chunk(list(5, false, "a") + "\n" + list(8, false, "c") + "\n"));
+        World.await("what came behind them", () -> lists("c"));
+        assertEquals(false, lists("a"));
+    }
+
+    @Test
+    void aDiscoveryThatCountsAnewIsBelieved() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(60, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        reset(watch);
+        Socket next = call();
+        say(next, HEAD + chunk(list(2, true, "b") + "\n") + chunk(list(3, false, "c") + "\n"));
+        World.await("listed anew", () -> lists("b") && lists("c") && !lists("a"));
+    }
+
+    @Test
+    void anAnswerWithNoLengthEndsWithItsConnectionAndAResetIsNoEnd() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        onCore(() -> {
+            directory.fetch();
+            return null;
+        });
+        Socket ended = call();
+        say(ended, PLAIN + list(7, true, "b"));
+        ended.shutdownOutput();
+        World.await("taken", () -> lists("b") && !lists("a"));
+        onCore(() -> {
+            directory.fetch();
+            return null;
+        });
+        Socket broken = call();
+        say(broken, PLAIN + list(8, true, "c"));
+        // Read before the reset comes, so that only the way in which it ended can tell.
+        Thread.sleep(100);
+        reset(broken);
+        // It has failed, so the watch is opened anew.
+        say(call(), HEAD + chunk(list(8, false, "d") + "\n"));
+        World.await("what came behind it", () -> lists("d"));
+        assertEquals(false, lists("c"));
+        assertEquals(true, lists("b"));
+    }
+
+    @Test
+    void aCallThatIsAnsweredAfterItWasGivenUpChangesNothing() throws Exception {
+        Socket first = call();
+        Socket second = call();
+        try {
+            say(first, HEAD + chunk(list(9, true, "x") + "\n"));
+        } catch (IOException e) {
+            // Its connection is closed by now, as it should be.
+        }
+        say(second, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        assertEquals(false, lists("x"));
+        assertEquals(Routing.Health.LIVE, onCore(() -> pooler.known().get(0).entry().member().health()));
+    }
+
+    @Test
+    void nothingIsLeftOpenOfCallsThatFailed() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            Socket call = call();
+            say(call, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            call.setSoTimeout(10_000);
+            assertEquals(-1, call.getInputStream().read());
+        }
+    }
+}
--- a/decisions/src/main/java/lupinvalve/Roster.java
+++ b/decisions/src/main/java/lupinvalve/Roster.java
@@ -12,8 +12,12 @@
  * failure, ever more rarely and spread over time.
  */
 final class Roster {
+    /**
+     * Pauses before discovery is asked again. A change binds some seconds after discovery had it and could be reached, whatever
+     * calls have failed by then: the longest pause and a call that hangs must fit in twice.
+     */
     private static final long ASK_FIRST = 250_000;
-    private static final int DOUBLINGS = 4;
+    private static final int DOUBLINGS = 2;
     /** How long a member that is gone is remembered, should the list name it again or a probe still end. */
     private static final long GONE_KEPT = 5_000_000;
     private final Scene s;
--- a/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
+++ b/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -19,10 +19,13 @@
 
 /** The list over HTTP/1.1: whole on demand, and as a watch of changes. Core thread only. */
 public final class HttpDirectory implements Directory {
-    /** A watch says something every 2 s; one silent for over twice that is dead and no reset will tell. */
-    private static final long WATCH_SILENCE = 4_200_000;
-    /** How long a call may take until its answer begins. */
-    private static final long CALL = 1_500_000;
+    /**
+     * A watch beats every 2 s. One silent for longer gets a successor, and is let go after twice that, as no reset will
+     * tell. What it misses binds 6 s later: from the first figure on there is time for three calls, two of which may fail.
+     */
+    private static final long WATCH_DOUBTED = 2_600_000, WATCH_SILENCE = 4_200_000;
+    /** How long a call may take until its answer begins; discovery itself gives one up after a second. */
+    private static final long CALL = 1_200_000;
     private static final int ANSWER_MOST = 4 << 20;
     /** A departure binds 250 ms after it was told: so much may the core be behind before that is worth a line. */
     private static final long LATE = 50_000;
@@ -33,8 +36,10 @@
     private InetSocketAddress address;
     private long revision;
     private Call watch;
-    /** A watch at the address before, let go once its successor has answered. */
+    /** The watch before, silent or at the former address, let go once its successor has answered. */
     private Call leaving;
+    /** Calls begun so far; which of them told the revision held. */
+    private long calls, toldBy;
 
     public HttpDirectory(Net net, Pooler pooler, InetSocketAddress address, ListReader reader, long revision) {
         this.net = net;
@@ -85,9 +90,20 @@
         new Call("/api/targets", false);
     }
 
-    private void tell(byte[] json, int from, int length) throws IOException {
-        ListReader.Listed listed = reader.read(json, from, length);
-        revision = Math.max(revision, listed.revision());
+    /**
+     * Takes over what a call has told, unless something newer is known: calls overlap, and one that is late would bring back
+     * db nodes that have been drained since. A whole list older than what its watch asked for counts all the same: that is
+     * how discovery answers once it numbers its lists anew.
+     */
+    private void tell(Call by, byte[] json) throws IOException {
+        ListReader.Listed listed = reader.read(json, 0, json.length);
+        boolean anew = by.watching && listed.complete() && by.number > toldBy && listed.revision() < by.since;
+        if (listed.revision() < revision && !anew) {
+            Log.info("discovery: revision %d after %d, not taken", listed.revision(), revision);
+            return;
+        }
+        revision = listed.revision();
+        toldBy = Math.max(toldBy, by.number);
         pooler.listed(new News(listed.complete() ? Routing.ListForm.FULL : Routing.ListForm.UPDATE,
                 listed.entries()));
     }
@@ -105,12 +121,14 @@
         private final boolean watching;
         private final String path;
         private final ByteArrayOutputStream head = new ByteArrayOutputStream();
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final JsonObjects objects = new JsonObjects(ANSWER_MOST);
         private final Chunks chunks = new Chunks();
         private final Link link;
-        private Deadlines.Deadline patience;
+        private final long number = ++calls, since = revision;
+        private Deadlines.Deadline patience, doubt;
         private boolean bodied, chunked, over;
-        private long length = -1;
+        private long length = -1, bodyBytes;
 
         Call(String path, boolean watching) {
             this.path = path;
@@ -122,9 +140,20 @@
         void end() {
             over = true;
             loop.drop(patience);
+            loop.drop(doubt);
             link.drop();
         }
 
+        /** The watch should have said something: it may be dead, so another is opened beside it. */
+        private void doubted() {
+            if (watch == this && leaving == null) {
+                Log.info("discovery: watch is silent, another is opened");
+                leaving = this;
+                watch = null;
+                subscribe(true);
+            }
+        }
+
         private void fail() {
             if (over) {
                 return;
@@ -132,11 +161,11 @@
             Log.info("discovery: %s ended", watching ? "watch" : "call");
             end();
             if (leaving == this) {
+                // Its successor is being called, or has failed and been reported.
                 leaving = null;
-                if (watch != null) {
-                    return;
-                }
-            } else if (watch == this) {
+                return;
+            }
+            if (watch == this) {
                 watch = null;
             }
             pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
@@ -156,7 +185,8 @@
 
         @Override
         public void closed(Link ended) {
-            if (!over && !watching && bodied && !chunked && length < 0 && line.size() > 0) {
+            // An answer with no length ends with its connection, but a reset is no end.
+            if (!over && !watching && bodied && !chunked && length < 0 && body.size() > 0 && !ended.broke()) {
                 whole();
             } else {
                 fail();
@@ -182,7 +212,7 @@
         }
 
         private void take(byte[] bytes) throws IOException {
-            byte[] body = bytes;
+            byte[] rest = bytes;
             if (!bodied) {
                 head.writeBytes(bytes);
                 byte[] all = head.toByteArray();
@@ -194,20 +224,26 @@
                     return;
                 }
                 head(new String(all, 0, end, ISO_8859_1));
-                body = Arrays.copyOfRange(all, end + 4, all.length);
+                rest = Arrays.copyOfRange(all, end + 4, all.length);
                 bodied = true;
-                if (watch == this) {
-                    leaving = let(leaving);
+                if (watching) {
+                    // Where nothing has changed it says nothing until its first beat.
+                    loop.drop(patience);
+                    patience = loop.after(WATCH_DOUBTED, this::fail);
                 }
             }
-            if (watching) {
-                loop.drop(patience);
-                patience = loop.after(WATCH_SILENCE, this::fail);
-            }
-            if (chunked) {
-                body = chunks.take(body);
+            body(chunked ? chunks.take(rest) : rest);
+        }
+
+        /** The watch has said something whole: a beat, or an object. Half of one may never be finished. */
+        private void spoke() {
+            if (watch == this) {
+                leaving = let(leaving);
             }
-            body(body);
+            loop.drop(patience);
+            loop.drop(doubt);
+            patience = loop.after(WATCH_SILENCE, this::fail);
+            doubt = loop.after(WATCH_DOUBTED, this::doubted);
         }
 
         private void head(String text) throws IOException {
@@ -232,28 +268,24 @@
         }
 
         private void body(byte[] bytes) throws IOException {
-            if (line.size() + bytes.length > ANSWER_MOST) {
-                throw new IOException("answer too long");
-            }
             if (!watching) {
-                line.writeBytes(bytes);
-                if (chunked ? chunks.ended() : length >= 0 && line.size() >= length) {
+                if (body.size() + bytes.length > ANSWER_MOST) {
+                    throw new IOException("answer too long");
+                }
+                body.writeBytes(bytes);
+                if (chunked ? chunks.ended() : length >= 0 && body.size() >= length) {
                     whole();
                 }
                 return;
             }
-            for (byte b : bytes) {
-                if (b != '\n') {
-                    line.write(b);
-                } else {
-                    byte[] json = line.toByteArray();
-                    line.reset();
-                    if (!new String(json, ISO_8859_1).isBlank()) {
-                        tell(json, 0, json.length);
-                    }
-                }
+            for (byte[] json : objects.take(bytes)) {
+                tell(this, json);
+            }
+            if (bytes.length > 0 && !objects.unfinished() && !over) {
+                spoke();
             }
-            if (chunks.ended()) {
+            bodyBytes += bytes.length;
+            if (!over && (chunks.ended() || length >= 0 && bodyBytes >= length)) {
                 fail();
             }
         }
@@ -261,7 +293,7 @@
         private void whole() {
             end();
             try {
-                tell(line.toByteArray(), 0, line.size());
+                tell(this, body.toByteArray());
             } catch (IOException e) {
                 Log.warn("discovery: %s", e.getMessage());
                 pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -63,6 +63,8 @@
     private volatile BooleanSupplier fence;
     private volatile Runnable room;
     private volatile long roomFrom;
+    /** How the connection ended, as MINA's side saw it. */
+    private volatile boolean left, broke;
     // The core's side.
     private IoSession session;
     private long bytesTold, unfinishedSince, writtenAt;
@@ -221,7 +223,17 @@
         }
     }
 
+    void leaves() {
+        left = true;
+    }
+
+    void broken() {
+        left = true;
+        broke = true;
+    }
+
     void ended() {
+        left = true;
         clear();
         deaf = true;
         post(this::end);
@@ -234,6 +246,16 @@
         }
     }
 
+    /** Whether the connection has ended, told or not: the core may be behind. */
+    public boolean left() {
+        return left;
+    }
+
+    /** Whether it ended in a reset or another fault, not by the peer's word. */
+    public boolean broke() {
+        return broke;
+    }
+
     // ---- the core thread ----
 
     public void write(byte[]... parts) {
