Begin nothing for clients that have gone, and look again at what waited for a connection

Lines at fault: Pooler.send and gone, Pool.greeted (asked only for the list), Pooler.tell (a change of address changed only the table). Now the core asks the sockets' side before each attempt (Link.left), takes back what has not begun, asks the router again when a connection comes up late (Router.stands), and ties connections to one process of a db node (Pooler.Instance). A CancelRequest, which names what BackendKeyData told, ends its request as if the client had left.

--- a/core/src/main/java/lupinvalve/core/Backend.java
+++ b/core/src/main/java/lupinvalve/core/Backend.java
@@ -21,6 +21,9 @@
     /** Stops waiting for an attempt and closes its connection; true where its request may have left. */
     boolean abandon(long attempt);
 
+    /** Whether the attempt waits for its connection: nothing of it has been handed to a socket. */
+    boolean waits(long attempt);
+
     /** Asks a db node for its report; the end comes through {@link Pooler#probed}. */
     void probe(String node, String address);
 
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -50,6 +50,29 @@
     /** A db node as it is known here; its role is the one that it has shown. */
     public record Known(Directory.Entry entry, long position) {}
 
+    /**
+     * One process of a db node. A restart, another address, or a return to the list make another one of the same id;
+     * connections belong to the one that they were opened to.
+     */
+    public static final class Instance {
+        private final Map<String, String> addresses;
+        private final long bornMicros;
+
+        private Instance(Directory.Entry entry) {
+            addresses = entry.addresses();
+            bornMicros = entry.member().bornMicros();
+        }
+
+        private boolean is(Directory.Entry entry) {
+            return addresses.equals(entry.addresses()) && bornMicros >= entry.member().bornMicros();
+        }
+
+        /** Whether a connection to this one leads to the other: a restart binds those that were opened before it. */
+        private boolean leadsTo(Instance other, long openedAt) {
+            return this == other || other != null && addresses.equals(other.addresses) && openedAt >= other.bornMicros;
+        }
+    }
+
     private static final class Held {
         final Front front;
         final long ticket;
@@ -59,6 +82,7 @@
         long handle, token;
         int attempts;
         long firstSent;
+        Attempt out;
         boolean answered, served;
         Deadlines.Deadline overtime;
         /** The attempt whose answer is being passed on, and the pieces so far. */
@@ -92,9 +116,9 @@
     private final Loop loop;
     private final Routing.Settings settings;
     private final Map<String, Backend> backends = new java.util.LinkedHashMap<>();
-    /** The list as discovery tells it, and the addresses of those of its db nodes that may be used. */
+    /** The list as discovery tells it, and the processes of those of its db nodes that may be used. */
     private final Map<String, Directory.Entry> listing = new HashMap<>();
-    private final Map<String, Map<String, String>> addresses = new HashMap<>();
+    private final Map<String, Instance> instances = new HashMap<>();
     /** Since when db nodes that are still listed have been told as leaving. */
     private final Map<String, Long> leaving = new HashMap<>();
     private final Maintenance maintenance;
@@ -237,8 +261,21 @@
             backends.get(held.ask.protocol()).abandon(held.passing.handle);
             close(held, "left", null);
         } else if (held != null && !held.answered) {
-            close(held, "left", null);
-            feed(new Routing.ClientGone(held.id));
+            leave(held);
+        }
+    }
+
+    /** Nobody waits for the request any more: what is out is called off where that is allowed, and what is not out stays. */
+    private void leave(Held held) {
+        close(held, "left", null);
+        feed(new Routing.ClientGone(held.id));
+        withdraw(held);
+    }
+
+    /** Takes back an attempt that waits for its connection, of a request that is over. */
+    private void withdraw(Held held) {
+        if (held.out != null && backends.get(held.ask.protocol()).waits(held.out.handle)) {
+            abandon(held.out, Ending.CANCELLED);
         }
     }
 
@@ -313,6 +350,7 @@
         }
         loop.drop(a.timeout);
         Held held = a.of;
+        held.out = held.out == a ? null : held.out;
         if (held.passing == a) {
             passed(held, told, answer, position, role);
             return;
@@ -352,6 +390,7 @@
 
     /** News of the list. */
     public void listed(Directory.News news) {
+        Set<String> unlisted = Set.of();
         if (news.form() == Routing.ListForm.UNAVAILABLE) {
             Log.info("list: unavailable, the one held stays");
         } else if (news.form() != Routing.ListForm.UPDATE) {
@@ -359,9 +398,12 @@
             // Each deploy brings new ids: those that have left must not pile up.
             Set<String> missing = new HashSet<>(listing.keySet());
             news.entries().forEach(entry -> missing.remove(entry.member().node()));
-            missing.forEach(node -> maintenance.left(node, loop.now()));
-            listing.clear();
-            addresses.clear();
+            for (String node : missing) {
+                maintenance.left(node, loop.now());
+                listing.remove(node);
+                instances.remove(node);
+            }
+            unlisted = missing;
         }
         for (Directory.Entry entry : news.entries()) {
             if (entry.member().health() == Routing.Health.GONE) {
@@ -373,6 +415,7 @@
             }
         }
         tell(news.form(), news.entries());
+        unlisted.forEach(this::closeIdle);
         if (news.form() == Routing.ListForm.FULL || news.form() == Routing.ListForm.UPDATE) {
             informed.run();
             informed = () -> { };
@@ -382,13 +425,17 @@
     /** Tells the router of entries as maintenance has them, and drops what leads to those that are gone. */
     private void tell(Routing.ListForm form, Iterable<Directory.Entry> entries) {
         List<Routing.Member> members = new ArrayList<>();
+        List<String> replaced = new ArrayList<>();
         for (Directory.Entry entry : entries) {
             Routing.Member m = maintenance.told(entry.member());
             members.add(m);
+            Instance known = instances.get(m.node());
             if (m.health() == Routing.Health.GONE) {
-                addresses.remove(m.node());
-            } else {
-                addresses.put(m.node(), entry.addresses());
+                instances.remove(m.node());
+                replaced.add(m.node());
+            } else if (known == null || !known.is(entry)) {
+                instances.put(m.node(), new Instance(entry));
+                replaced.add(m.node());
             }
             if (m.health() == Routing.Health.DRAINING) {
                 leaving.putIfAbsent(m.node(), loop.now());
@@ -396,13 +443,13 @@
                 leaving.remove(m.node());
             }
         }
-        leaving.keySet().retainAll(addresses.keySet());
+        leaving.keySet().retainAll(instances.keySet());
         feed(new Routing.Members(form, members));
-        for (Routing.Member m : members) {
-            if (m.health() == Routing.Health.GONE) {
-                backends.values().forEach(b -> b.closeIdle(m.node()));
-            }
-        }
+        replaced.forEach(this::closeIdle);
+    }
+
+    private void closeIdle(String node) {
+        backends.values().forEach(b -> b.closeIdle(node));
     }
 
     /** Why an operator's call to take a db node out or back can't be taken, or null. */
@@ -436,12 +483,28 @@
     }
 
     /**
-     * Whether nothing new may go to the db node. Guards requests that wait for their connection: when they were sent on it
-     * may not have been told yet, and what counts is when their first byte goes out.
+     * Whether what has waited for a connection to this process of a db node may no longer go out on it. When it was decided on,
+     * the process may not have been told to leave, its client was there, and the repeat or the age of data that it
+     * allows may have been in time; what counts is when the first byte goes out.
+     *
+     * @param attempt or -1 for a probe
      */
-    public boolean bars(String node) {
+    public boolean bars(String node, Instance opened, long openedAt, long attempt) {
         Long since = leaving.get(node);
-        return fenced() || !lists(node) || since != null && loop.now() >= since + settings.rules().drainGraceMicros() * 3 / 4;
+        boolean closed = fenced() || !leads(node, opened, openedAt)
+                || since != null && loop.now() >= since + settings.rules().drainGraceMicros() * 3 / 4;
+        Attempt a = attempts.get(attempt);
+        return closed || a != null && (a.of.front.left(a.of.ticket) || !router.stands(a.of.id, loop.now()));
+    }
+
+    /** Whether a connection that was opened to a process of the db node leads to the one that the list names now. */
+    public boolean leads(String node, Instance opened, long openedAt) {
+        return opened != null && opened.leadsTo(instances.get(node), openedAt);
+    }
+
+    /** The process that the list names under the id, or null. */
+    public Instance instance(String node) {
+        return instances.get(node);
     }
 
     /** The list as it stands, with the roles and positions that db nodes have shown; after {@link #start}. */
@@ -458,7 +521,7 @@
 
     /** Whether the list names the db node, and not as gone. */
     public boolean lists(String node) {
-        return addresses.containsKey(node);
+        return instances.containsKey(node);
     }
 
     public int open() {
@@ -476,6 +539,7 @@
             close(held, "overdue", Figures.End.FAILED);
             held.front.failed(held.ticket);
             feed(new Routing.ClientGone(held.id));
+            withdraw(held);
         }
     }
 
@@ -553,7 +617,7 @@
         } else if (action instanceof Routing.Probe probe) {
             probe(probe.node());
         } else if (action instanceof Routing.CloseIdle close) {
-            backends.values().forEach(b -> b.closeIdle(close.node()));
+            closeIdle(close.node());
         } else if (action instanceof Routing.Subscribe subscribe) {
             directory.subscribe(subscribe.active());
         } else if (action instanceof Routing.FetchList) {
@@ -567,13 +631,18 @@
 
     private void send(Routing.Send send) {
         Held held = byId.get(send.id());
+        if (held != null && held.front.left(held.ticket)) {
+            // The core has not come to its client's end yet, which may be long ago by then.
+            leave(held);
+            held = null;
+        }
         long now = loop.now();
         int number = held == null ? 0 : held.attempts++;
         if (number == 0 && held != null) {
             held.firstSent = now;
         }
-        String address = held == null ? null
-                : addresses.getOrDefault(send.node(), Map.of()).get(held.ask.protocol());
+        Instance instance = instances.get(send.node());
+        String address = held == null || instance == null ? null : instance.addresses.get(held.ask.protocol());
         if (held == null || address == null || attempts.full() || fenced()) {
             feed(new Routing.Outcome(send.id(), number, send.node(), Ending.NOT_SENT, 0, held == null,
                     Routing.NO_POSITION, Routing.Role.UNKNOWN));
@@ -583,6 +652,7 @@
         long wait = send.timeoutMicros() == 0 ? left : Math.min(send.timeoutMicros(), left);
         Attempt a = new Attempt(held, number, send.node(), now);
         a.handle = attempts.put(a);
+        held.out = a;
         a.timeout = loop.after(wait, () -> abandon(a, Ending.TIMED_OUT));
         backends.get(held.ask.protocol()).send(a.handle, a.node, address, held.ask.statement(), wait,
                 send.wantedMicros() == 0 ? wait : Math.min(send.wantedMicros(), wait));
@@ -595,7 +665,8 @@
     }
 
     private void probe(String node) {
-        Map<String, String> known = addresses.getOrDefault(node, Map.of());
+        Instance instance = instances.get(node);
+        Map<String, String> known = instance == null ? Map.of() : instance.addresses;
         for (Map.Entry<String, Backend> backend : backends.entrySet()) {
             String address = known.get(backend.getKey());
             if (address != null) {
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/net/HeldCore.java
@@ -0,0 +1,184 @@
+package lupinvalve.net;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import lupinvalve.Routing;
+import lupinvalve.config.NodeConfig;
+import lupinvalve.core.Directory;
+import lupinvalve.core.Loop;
+import lupinvalve.core.Pooler;
+import lupinvalve.pg.PgBackend;
+import lupinvalve.pg.PgFront;
+import lupinvalve.stories.DbNode;
+import lupinvalve.stories.World;
+
+/** A pooler on real sockets whose core can be held up at a point, and whose list is given by hand. */
+final class HeldCore implements Closeable {
+    final Loop loop = new Loop();
+    final Net net = new Net(loop);
+    final List<Link> links = new CopyOnWriteArrayList<>();
+    final PgBackend pool;
+    final Net.Listener listener;
+    private final Pooler pooler;
+    private final PgFront front;
+
+    /** @param settings changes the text of the example's configuration */
+    HeldCore(UnaryOperator<String> settings, Directory.Entry... entries) throws Exception {
+        Path file = Files.createTempFile("lupinvalve", ".json");
+        Files.writeString(file, settings.apply(Files.readString(Path.of("example/config.json"))));
+        pooler = new Pooler(loop, NodeConfig.read(file, null).site().settings());
+        Files.delete(file);
+        pooler.directory(new Directory() {
+            @Override
+            public void subscribe(boolean active) {
+                // The list is given by hand.
+            }
+
+            @Override
+            public void fetch() {
+                // Likewise.
+            }
+        });
+        pool = new PgBackend(net, pooler, new Pool.Bounds(50, 5_000_000, 15_000_000, 250_000), "api", "ledger");
+        pooler.backend(PgFront.PROTOCOL, pool);
+        front = new PgFront(pooler, 50);
+        listener = net.listen(new InetSocketAddress("127.0.0.1", 0), session -> {
+            Link link = new Link(loop, front.framer(), front);
+            links.add(link);
+            return link;
+        });
+        loop.start();
+        loop.post(() -> pooler.start(1, List.of(entries)));
+    }
+
+    static Directory.Entry entry(DbNode node, String id, long bornMicros) {
+        return new Directory.Entry(new Routing.Member(id, 1, 0, Routing.Health.LIVE, node.primary, bornMicros),
+                Map.of(PgFront.PROTOCOL, "127.0.0.1:" + node.port()));
+    }
+
+    static Directory.Entry gone(String id) {
+        return new Directory.Entry(new Routing.Member(id, 1, 0, Routing.Health.GONE, false, 0), Map.of());
+    }
+
+    void listed(Directory.Entry... entries) throws Exception {
+        onCore(() -> {
+            pooler.listed(new Directory.News(Routing.ListForm.UPDATE, List.of(entries)));
+            return null;
+        });
+    }
+
+    /** Requests that are open. */
+    int requests() throws Exception {
+        return onCore(pooler::open);
+    }
+
+    <T> T onCore(Supplier<T> asked) throws Exception {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        loop.post(() -> answer.complete(asked.get()));
+        return answer.get(10, TimeUnit.SECONDS);
+    }
+
+    /** A point in the core's queue at which it stops until it is let go. */
+    final class Stop {
+        private final CountDownLatch reached = new CountDownLatch(1), go = new CountDownLatch(1);
+
+        private Stop() {
+            loop.post(() -> {
+                reached.countDown();
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+
+        void reached() throws InterruptedException {
+            reached.await();
+        }
+
+        void letGo() {
+            go.countDown();
+        }
+    }
+
+    /** Waits until MINA's thread has come round so often, and with that has read what was there. */
+    void rounds(int count) throws Exception {
+        for (int i = 0; i < count; i++) {
+            int before = links.size();
+            try (Socket newcomer = new Socket("127.0.0.1", listener.address().getPort())) {
+                World.await("come round", () -> links.size() > before && newcomer.isConnected());
+            }
+        }
+    }
+
+    /** The core stops behind all that has been posted by now. */
+    Stop stop() {
+        return new Stop();
+    }
+
+    /** A client's connection, after its startup; the link to it is the last of {@link #links}. */
+    Socket client() throws Exception {
+        Socket socket = new Socket("127.0.0.1", listener.address().getPort());
+        socket.setSoTimeout(10_000);
+        socket.setTcpNoDelay(true);
+        socket.getOutputStream().write("\0\0\0\20\0\3\0\0user\0\0\0\0".getBytes(ISO_8859_1));
+        answer(socket);
+        return socket;
+    }
+
+    static void ask(Socket client, String query) throws IOException {
+        int length = query.length() + 5;
+        client.getOutputStream().write(("Q\0\0" + (char) (length >> 8) + (char) (length & 255) + query + "\0")
+                .getBytes(ISO_8859_1));
+    }
+
+    /** What comes up to ReadyForQuery: types, and of errors the code; "end" where the connection is over. */
+    static List<String> answer(Socket client) throws IOException {
+        DataInputStream in = new DataInputStream(client.getInputStream());
+        List<String> got = new ArrayList<>();
+        while (true) {
+            int type = in.read();
+            if (type < 0) {
+                got.add("end");
+                return got;
+            }
+            String body = new String(in.readNBytes(in.readInt() - 4), ISO_8859_1);
+            if (type == 'Z') {
+                return got;
+            }
+            got.add(type == 'E' ? body.replaceAll("(?s).*\0C(.{5}).*", "$1") : type == 'K' ? "K" + body : "" + (char) type);
+        }
+    }
+
+    static String read(String id, String kind, int wait) {
+        return "SELECT blob FROM rows WHERE handle = 'k1' /* id=" + id + ",c=" + kind + ",t=acme,d=" + wait + ",cluster=1 */";
+    }
+
+    static String booking(String id, int wait) {
+        return "INSERT INTO rows (handle, blob) VALUES ('k1', '\\x9f') RETURNING blob /* id=" + id
+                + ",c=pickup-booking,t=acme,d=" + wait + ",cluster=1 */";
+    }
+
+    @Override
+    public void close() {
+        net.close();
+        loop.stop();
+    }
+}
--- a/daemon/src/test/java/lupinvalve/stories/TroubleTest.java
+++ b/daemon/src/test/java/lupinvalve/stories/TroubleTest.java
@@ -91,6 +91,35 @@
         }
     }
 
+    @Test
+    void idle_clients_that_fill_the_descriptors_do_not_keep_discovery_out() throws Exception {
+        try (World world = new World(64, OperatorConfig.NONE, new DbNode("s-1", true), new DbNode("s-2", false))) {
+            World.await("watching", () -> world.watches.get() == 1);
+            world.beats = false;
+            long silent = System.nanoTime();
+            List<Socket> idle = new ArrayList<>();
+            // Whatever is closed comes again at once, until the list is back.
+            while (world.watches.get() == 1) {
+                assertTrue(System.nanoTime() - silent < 6_000_000_000L);
+                idle.add(new Socket("127.0.0.1", world.daemon.address().getPort()));
+                if (idle.size() > 400) {
+                    idle.remove(0).close();
+                }
+                Thread.sleep(1);
+            }
+            for (Socket socket : idle) {
+                socket.close();
+            }
+            World.await("served", () -> {
+                try (Connection client = world.pg()) {
+                    return "value".equals(end(client, read("i" + System.nanoTime(), 900)));
+                } catch (SQLException e) {
+                    return false;
+                }
+            });
+        }
+    }
+
     @Test
     void a_field_that_is_bad_is_answered_with_an_error_and_reaches_no_db_node() throws Exception {
         DbNode primary = new DbNode("s-1", true);
@@ -129,6 +158,8 @@
     @Test
     void clients_that_can_not_be_read_get_an_end_soon_and_disturb_nobody() throws Exception {
         try (World world = calm(new DbNode("s-1", true), new DbNode("s-2", false)); Connection client = world.pg()) {
+            // A connection that has said nothing ends after 2.6 s by itself, and on a busy machine the rest takes longer.
+            assertEquals("value", end(client, read("n0", 900)));
             byte[] noise = "a line that never ends ".repeat(400).getBytes(ISO_8859_1);
             for (String head : List.of("\0\0\0\4", "\377\377\377\377", "\177\377\377\377", "GET / HTTP/1.1\r\n\r\n")) {
                 try (Socket bad = new Socket("127.0.0.1", world.daemon.address().getPort())) {
--- a/decisions/src/main/java/lupinvalve/Choice.java
+++ b/decisions/src/main/java/lupinvalve/Choice.java
@@ -11,8 +11,8 @@
     /** An attempt is overdue after so many times what is expected, called off after so many times that. */
     private static final double OVERDUE = 4, PATIENCE = 4;
     private static final long OVERDUE_LEAST = 100_000;
-    /** What a member costs that has answered this request with an error, against one that has not. */
-    private static final double ERRED = 50;
+    /** What a member costs that has answered this request with an error, and a cold one that it has drawn. */
+    private static final double ERRED = 50, DRAWN = 0.01;
     /** Share of the primary's bound that reads may fill; the rest is for writes. */
     private static final double READS_ON_PRIMARY = 0.6;
     /** Latency over aim at replicas from which reads may spill to a primary that has this many times less. */
@@ -51,11 +51,8 @@
      * themselves, also by the lag last seen, the less after each miss, or tries are spent within a moment.
      */
     boolean fresh(Node n, long need, int misses) {
-        if (n.position >= need) {
-            return true;
-        }
         long ahead = s.settings.replication().waitMicros() / 2 - misses * MISS_STEP;
-        return guarded && (n.lag < 0 || s.now - n.lag + ahead >= need);
+        return n.position >= need || guarded && (n.lag < 0 || s.now - n.lag + ahead >= need);
     }
 
     Node forRead(Pending r) {
@@ -86,7 +83,7 @@
             }
             double cost = (n.out.size() + 1) * limits.slow(n) * (n.zone == s.settings.zone() ? 1 : far)
                     * (n != kept ? 1 : anyAge ? 1 / KEPT_FOR_LONG : KEPT_FOR_LONG)
-                    * (n == r.last ? 4 : 1) * (r.erredAt.contains(n) ? ERRED : 1);
+                    * (n == r.last ? 4 : 1) * (r.erredAt.contains(n) ? ERRED : limits.drawn(n) ? DRAWN : 1);
             if (cost < least) {
                 least = cost;
                 best = n;
@@ -167,8 +164,7 @@
             idles.close(n);
             idle = 0;
         }
-        long left = r.expires - s.now;
-        long timeout = left;
+        long left = r.expires - s.now, timeout = left;
         double patience = overdue * (idles.doubts(idle) ? 1 : PATIENCE);
         if (r.kind.effect() != Routing.Effect.UNSAFE && left - patience > limits.work[r.cls()]) {
             timeout = (long) patience;
--- a/decisions/src/main/java/lupinvalve/Health.java
+++ b/decisions/src/main/java/lupinvalve/Health.java
@@ -94,8 +94,8 @@
     }
 
     /**
-     * Probes may fail while a member serves: a failed one ejects nobody, but makes the next one rarer
-     * and, for a member that service has ejected, the trial later.
+     * Probes may fail while a member serves: a failed one ejects nobody, but makes the next one rarer and,
+     * for a member that service has ejected, the trial later.
      */
     void probed(Node n, Routing.Ending ending) {
         n.probing = false;
--- a/decisions/src/main/java/lupinvalve/Router.java
+++ b/decisions/src/main/java/lupinvalve/Router.java
@@ -1,8 +1,5 @@
 package lupinvalve;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
 import java.util.function.Consumer;
 import lupinvalve.State.*;
 
@@ -13,7 +10,6 @@
  * position becomes its session's token, the session's reads go to replicas that have reached it, a read that
  * finds none is held and falls back to the primary. Departures are marked so; docs/design.md gives the
  * reasons. One instance per router; it has no clock, thread or I/O. Not safe for use by several threads.
- * This file takes events to the parts: limits, health, primaries, choice, holding.
  */
 public final class Router {
     private static final long TICK = 10_000, IDLE_TICK = 100_000;
@@ -77,6 +73,15 @@
         return s.nodes.containsKey(node) ? s.nodes.get(node).position : Routing.NO_POSITION;
     }
 
+    /** Whether a request's attempt, whose connection was long in coming up, may still go out. */
+    public boolean stands(String id, long nowMicros) {
+        s.now = nowMicros;
+        Pending r = s.requests.get(id);
+        Node n = r == null || r.out == null ? null : r.out.node();
+        return n != null && primaries.mayRun(r, n)
+                && (r.write() || n == r.group.primary || choice.fresh(n, choice.need(r), r.attempts - 1));
+    }
+
     public boolean isPrimary(String node) {
         return s.nodes.containsKey(node) && s.nodes.get(node).group.primary == s.nodes.get(node);
     }
@@ -209,7 +214,6 @@
         return n != null && (!health.healthy(n) || health.shunned(n));
     }
 
-    /** How many members are remembered. */
     int members() {
         return s.nodes.size();
     }
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -471,6 +471,12 @@
         }
     }
 
+    @Override
+    public boolean left(long ticket) {
+        Client client = clients.get(ticket);
+        return client == null || client.link.left();
+    }
+
     private void next(Client client) {
         client.busy = false;
         client.request = -1;
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -57,7 +57,9 @@
     /** A connection to a db node; protocols add what they must remember of it. */
     public static class Conn {
         private final String node;
-        private long slot;
+        /** The db node's process that it was opened to. */
+        private Pooler.Instance instance;
+        private long openedAt, slot;
         private Link link;
         private boolean greeted, started, more;
         private Job job;
@@ -180,8 +182,8 @@
         loop.drop(conn.limit);
         if (conn.job == null) {
             rest(conn);
-        } else if (pooler.bars(conn.node)) {
-            // The db node was told to be left out while the connection came up: the request has not gone anywhere.
+        } else if (pooler.bars(conn.node, conn.instance, conn.openedAt, conn.job.attempt)) {
+            // The request has not gone anywhere.
             Job job = conn.job;
             release(conn);
             forget(conn);
@@ -282,6 +284,8 @@
             return null;
         }
         Conn conn = connect(job.node);
+        conn.instance = pooler.instance(job.node);
+        conn.openedAt = loop.now();
         conn.slot = conns.put(conn);
         conn.limit = loop.after(bounds.connectMicros(), () -> {
             // Nothing of the request was handed over: the greeting never came.
@@ -322,6 +326,12 @@
         return left;
     }
 
+    @Override
+    public final boolean waits(long attempt) {
+        Conn conn = byAttempt.get(attempt);
+        return conn != null && !conn.started;
+    }
+
     @Override
     public final void closeIdle(String node) {
         ArrayDeque<Conn> resting = idle.remove(node);
@@ -367,8 +377,8 @@
     }
 
     private void rest(Conn conn) {
-        if (!pooler.lists(conn.node)) {
-            // It left while this connection was busy: nobody would use or close it until its time is up.
+        if (!pooler.leads(conn.node, conn.instance, conn.openedAt)) {
+            // It left, or another process took its id, while this connection was busy or on its way up.
             forget(conn);
             conn.link.drop();
             return;
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -1,10 +1,13 @@
 package lupinvalve.pg;
 
+import java.security.SecureRandom;
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import lupinvalve.Routing;
 import lupinvalve.core.Backend;
@@ -37,12 +40,15 @@
     private final IdentityHashMap<Link, Client> byLink = new IdentityHashMap<>();
     private final Spare<Client> spare;
     private final Set<Link> extra = Collections.newSetFromMap(new IdentityHashMap<>());
+    /** Whose requests a cancel names, by process number and secret key, which each connection is told. */
+    private final Map<Long, Client> byKey = new HashMap<>();
+    private final SecureRandom random = new SecureRandom();
     private long waiting;
-    private int streams;
+    private int streams, numbers;
 
     private static final class Client {
         final Link link;
-        long slot;
+        long slot, key;
         final long openedAt;
         boolean welcomed, asked, last;
         final ArrayDeque<Reply> due = new ArrayDeque<>();
@@ -142,6 +148,7 @@
 
     private void drop(Client client) {
         byLink.remove(client.link);
+        byKey.remove(client.key);
         spare.gone(client);
         clients.free(client.slot);
         for (Reply reply : client.due) {
@@ -196,19 +203,40 @@
         if (code == PgFramer.SSL_REQUEST || code == PgFramer.GSS_REQUEST) {
             client.link.write(PgMessages.NO);
         } else if (code == PgFramer.CANCEL_REQUEST) {
+            Client named = message.length == 16
+                    ? byKey.get((long) PgFramer.int32(message, 8) << 32 | PgFramer.int32(message, 12) & 0xFFFFFFFFL) : null;
             end(client);
+            if (named != null) {
+                cancel(named);
+            }
         } else if (code >> 16 != 3) {
             client.last = true;
             answer(client, PgMessages.error("FATAL", "0A000", "protocol version 3 only", null));
         } else {
             client.welcomed = true;
-            client.link.write(PgMessages.AUTHENTICATED, PgMessages.texts('S', "server_version", "15.0"),
+            client.key = (long) ++numbers << 32 | random.nextInt() & 0xFFFFFFFFL;
+            byKey.put(client.key, client);
+            client.link.write(PgMessages.AUTHENTICATED, PgMessages.key(client.key), PgMessages.texts('S', "server_version", "15.0"),
                     PgMessages.texts('S', "client_encoding", "UTF8"),
                     PgMessages.texts('S', "standard_conforming_strings", "on"),
                     PgMessages.texts('S', "integer_datetimes", "on"), PgMessages.READY);
         }
     }
 
+    /** The client wants the request that it waits for called off: what is out of it ends, and nothing more goes out. */
+    private void cancel(Client client) {
+        Reply reply = client.due.peek();
+        if (reply == null || reply.bytes != null) {
+            return;
+        }
+        pooler.gone(reply.request);
+        if (reply.source != null) {
+            cut(reply.ticket);
+        } else {
+            settle(reply.ticket, PgMessages.error("ERROR", "57014", "canceled at its client's request", null));
+        }
+    }
+
     private void command(Client client, byte[] message, long atMicros) {
         spare.busy(client);
         client.asked = true;
@@ -309,6 +337,12 @@
         settle(ticket, PgMessages.error("ERROR", "58000", "failed: it may have run", null));
     }
 
+    @Override
+    public boolean left(long ticket) {
+        Reply reply = replies.get(ticket);
+        return reply == null || reply.client.link.left();
+    }
+
     @Override
     public void begins(long ticket, Object first, Backend.Source source) {
         Reply reply = replies.get(ticket);
--- a/pg/src/main/java/lupinvalve/pg/PgMessages.java
+++ b/pg/src/main/java/lupinvalve/pg/PgMessages.java
@@ -28,6 +28,14 @@
         }
     }
 
+    /** BackendKeyData: what a cancel of the connection's requests has to name. */
+    static byte[] key(long key) {
+        byte[] body = new byte[8];
+        put32(body, 0, (int) (key >> 32));
+        put32(body, 4, (int) key);
+        return message('K', body);
+    }
+
     /** A message whose body is texts, each ended by a zero byte. */
     static byte[] texts(char type, String... texts) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
