Draw cold db nodes by lot in a fleet, so that what all have saved does not go out at once

Lines at fault: Limits.coldRoom (credit of at least 1; one out at a time for each router) and chill.

--- a/decisions/src/main/java/lupinvalve/Limits.java
+++ b/decisions/src/main/java/lupinvalve/Limits.java
@@ -4,8 +4,8 @@
 
 /** How much a db node is given: bounds that follow its latency, cold starts, and what is refused by lot. */
 final class Limits {
-    /** Part of the multiple a cold member may bear that it is given, and the requests it may save up for. */
-    private static final double COLD_PART = 0.75, COLD_BURST = 3, COLD_START = 4;
+    /** Part of what a cold member bears that it is given, most requests saved, tries where none is warm. */
+    private static final double COLD_PART = 0.75, COLD_BURST = 3, COLD_ALONE = 10;
     /**
      * Start and least bound on all routers' attempts out at a member, greatest on own. Then the part of its
      * aim that an answer may take in the mean: works vary about as their mean, so of a quarter e^-4 are late.
@@ -67,28 +67,32 @@
     /**
      * A cold member earns requests only as warm ones serve them, in proportion to its warmth at that moment,
      * so all routers together keep it under what it can do however unevenly they are loaded. Served requests
-     * count: not sent ones, as repeats prove nothing, nor latencies, as queues swell them.
+     * count: not sent ones, as repeats prove nothing, nor latencies, as queues swell them. What many routers
+     * saved must not go out at once: requests draw lots for the part earned, an equal share of reads at most.
      */
     boolean coldRoom(Node n, Pending r) {
-        if (!cold(n)) {
-            return true;
-        }
-        if (longWork[r.cls()]) {
-            return false;
+        if (!cold(n) || longWork[r.cls()]) {
+            return !cold(n);
         }
         long warm = s.nodes.values().stream()
                 .filter(m -> m.health == Routing.Health.LIVE && m.strikes == 0 && !cold(m)).count();
+        double luck = r.lot * 1e4 + n.id.hashCode() * 0.618;
+        luck -= Math.floor(luck);
         if (warm == 0) {
-            return n.out.size() < (r.write() ? 3 : 1);
+            return n.out.size() < (r.write() ? 3 : 1) && luck < COLD_ALONE / s.settings.routers();
         }
-        double share = s.settings.rules().coldShare();
+        double least = s.settings.rules().coldShare();
         double age = (double) (s.now - n.coldSince) / Math.max(1, s.settings.rules().warmUpMicros());
-        double warmth = share + (1 - share) * Math.min(1, Math.max(0, age));
-        double part = s.settings.rules().overloadMultiple() * COLD_PART;
-        double earned = (warmServed - n.coldBase) / warm * warmth * part;
+        double warmth = least + (1 - least) * Math.min(1, Math.max(0, age));
+        double gets = warmth * s.settings.rules().overloadMultiple() * COLD_PART;
+        n.coldCredit = Math.min(COLD_BURST, n.coldCredit + (warmServed - n.coldBase) / warm * gets);
         n.coldBase = warmServed;
-        n.coldCredit = Math.min(COLD_BURST, n.coldCredit + earned);
-        return n.coldCredit >= 1;
+        double share = r.write() ? 1 : Math.min(1, gets) / Math.max(1, n.group.members.size() - 1);
+        return sparse ? Math.min(n.coldCredit, share) > luck : n.coldCredit >= 1;
+    }
+
+    boolean drawn(Node n) {
+        return sparse && cold(n);
     }
 
     boolean room(Node n, Pending r, double share) {
@@ -165,9 +169,7 @@
     void chill(Node n, long since) {
         n.coldSince = Math.max(n.coldSince, since);
         n.coldBase = warmServed;
-        // A random start: routers that earn little would else give a cold member nothing while it warms up.
-        // All of them start at once, so many of them start with less.
-        n.coldCredit = s.random.nextDouble() * Math.min(1, COLD_START / s.settings.routers());
+        n.coldCredit = sparse ? 0 : s.random.nextDouble();
         n.limit = Math.min(n.limit, startLimit);
     }
 }
--- a/decisions/src/test/java/lupinvalve/FleetTest.java
+++ b/decisions/src/test/java/lupinvalve/FleetTest.java
@@ -9,13 +9,17 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Many routers before one scripted world in virtual time: what is harmless at one must not add up. */
 class FleetTest {
     private static final long MS = 1000, SECOND = 1000 * MS;
-    private static final int ROUTERS = 14, RATE = 300, WARM_MEMBERS = 5;
-    private static final double MULTIPLE = 3, SHARE = 0.2;
-    private static final long RAMP = 10 * SECOND;
+    private static final int RATE = 300, WARM_MEMBERS = 5;
+    private static final double SHARE = 0.2;
+    /** How much more than it can do a cold member bears, and how long it takes to be warm. */
+    private double multiple = 3;
+    private long ramp = 10 * SECOND;
 
     private record Due(long at, int router, Routing.Event event) {}
 
@@ -25,27 +29,30 @@
     private final List<Long> advice = new ArrayList<>();
     private long now = 1000 * SECOND, took = 40 * MS;
     private int probes;
+    /** Which router a request comes to, and for which group. */
+    private java.util.function.ToIntFunction<SplittableRandom> chooses = random -> random.nextInt(routers.size()), asks = random -> 1;
 
-    FleetTest() {
+    private void fleet(int count) {
         Routing.RequestClass read = new Routing.RequestClass("read", Routing.Access.BOUNDED, 500 * MS,
                 Routing.Effect.SAFE, Routing.KeyScope.ALL, 0, 600 * MS, 2000 * MS, 1, 0);
-        for (int i = 0; i < ROUTERS; i++) {
+        for (int i = 0; i < count; i++) {
             int self = i;
-            Routing.Settings settings = new Routing.Settings(i, ROUTERS, 0, false, List.of(read),
+            Routing.Settings settings = new Routing.Settings(i, count, 0, false, List.of(read),
                     new Routing.Limits(6, false, true, true, true, SECOND, 1000),
-                    new Routing.Rules(20 * MS, 250 * MS, 10 * SECOND, SHARE, RAMP, MULTIPLE, 3 * SECOND),
+                    new Routing.Rules(20 * MS, 250 * MS, 10 * SECOND, SHARE, ramp, multiple, 3 * SECOND),
                     new Routing.Replication(Routing.FreshnessCheck.BOUNCE, 0, Routing.TokenSource.CARRIED));
             routers.add(new Router(100 + i, settings, now, action -> act(self, action)));
         }
         List<Routing.Member> members = new ArrayList<>();
         for (int i = 0; i <= WARM_MEMBERS; i++) {
             members.add(new Routing.Member("m" + i, 1, 0, Routing.Health.LIVE, i == 0, 0));
+            members.add(new Routing.Member("k" + i, 2, 0, Routing.Health.LIVE, i == 0, 0));
         }
         all(new Routing.Members(Routing.ListForm.FULL, members));
     }
 
     private void all(Routing.Event event) {
-        for (int i = 0; i < ROUTERS; i++) {
+        for (int i = 0; i < routers.size(); i++) {
             give(i, event);
         }
     }
@@ -57,7 +64,7 @@
     private void act(int router, Routing.Action action) {
         if (action instanceof Routing.Send send) {
             sends.computeIfAbsent(send.node(), n -> new ArrayList<>()).add(now);
-            boolean primary = send.node().equals("m0");
+            boolean primary = send.node().endsWith("0");
             ahead.add(new Due(now + took, router, new Routing.Outcome(send.id(), 0, send.node(), Routing.Ending.SERVED,
                     took, true, now, primary ? Routing.Role.PRIMARY : Routing.Role.REPLICA)));
         } else if (action instanceof Routing.Refuse refuse) {
@@ -71,7 +78,7 @@
         }
     }
 
-    /** Reads come at random routers for so long. */
+    /** Reads come for so long. */
     private void run(long micros, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         long end = now + micros;
@@ -82,18 +89,45 @@
                 give(due.router, due.event);
             }
             now = next;
-            give(random.nextInt(ROUTERS), new Routing.Request(Long.toString(now, 36) + "-" + random.nextInt(1 << 30), 0,
-                    false, null, 0, 1, 1500 * MS));
+            give(chooses.applyAsInt(random), new Routing.Request(Long.toString(now, 36) + "-" + random.nextInt(1 << 30),
+                    0, false, null, 0, asks.applyAsInt(random), 1500 * MS));
         }
         now = end;
     }
 
+    /** What may be sent to a member in any window of 3 s by all together: what it bears, and a little chance. */
+    private void assertBearable(String node, long born, double warmPerSecond, String what) {
+        List<Long> cold = sends.getOrDefault(node, List.of()).stream().filter(at -> at >= born).toList();
+        for (long from = born; from <= now - 3 * SECOND; from += 50 * MS) {
+            long start = from;
+            long sent = cold.stream().filter(at -> at >= start && at < start + 3 * SECOND).count();
+            double bears = multiple * (SHARE + (1 - SHARE) * (from - born) / ramp) * warmPerSecond * 3;
+            assertTrue(sent <= bears + 2 * Math.sqrt(bears) + 2, what + ": " + sent + " sent, bears " + bears + ", from "
+                    + (from - born) / MS + " ms on");
+        }
+    }
+
+    private long start(String... nodes) {
+        List<Routing.Member> members = new ArrayList<>();
+        for (String node : nodes) {
+            members.add(new Routing.Member(node, node.startsWith("m") ? 1 : 2, 0, Routing.Health.LIVE, false, now));
+        }
+        all(new Routing.Members(Routing.ListForm.UPDATE, members));
+        return now;
+    }
+
+    /** What a warm replica of the cold one's group was sent in the mean: it can bear that at least. */
+    private double warmPerSecond(long from) {
+        return List.of("m1", "m2", "m3", "m4").stream()
+                .mapToLong(node -> sends.get(node).stream().filter(at -> at >= from).count()).sum() / 4.0
+                / ((now - from) / (double) SECOND);
+    }
+
     @Test
     void allTogetherKeepAColdMemberUnderWhatItCanBear() {
+        fleet(14);
         run(5 * SECOND, 1);
-        long born = now;
-        all(new Routing.Members(Routing.ListForm.UPDATE, List.of(
-                new Routing.Member("m5", 1, 0, Routing.Health.LIVE, false, born))));
+        long born = start("m5");
         run(8 * SECOND, 2);
         List<Long> cold = sends.get("m5").stream().filter(at -> at >= born).toList();
         // What a warm replica was sent in that time is what it can bear at least.
@@ -101,21 +135,70 @@
         for (long from = born; from < born + 5 * SECOND; from += 100 * MS) {
             long start = from;
             long sent = cold.stream().filter(at -> at >= start && at < start + 3 * SECOND).count();
-            double warmth = SHARE + (1 - SHARE) * (from - born) / RAMP;
-            assertTrue(sent <= MULTIPLE * warmth * warm * 3, sent + " sent, warm members take " + warm + "/s, from "
+            double warmth = SHARE + (1 - SHARE) * (from - born) / ramp;
+            assertTrue(sent <= multiple * warmth * warm * 3, sent + " sent, warm members take " + warm + "/s, from "
                     + (from - born) / MS + " ms on");
         }
         assertTrue(cold.size() > 30, "it is not starved: " + cold.size());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 14, 30, 100})
+    void howeverManyTheyAreTheyKeepAColdMemberUnderWhatItCanBearAndDoNotStarveIt(int count) {
+        multiple = 2;
+        ramp = 20 * SECOND;
+        fleet(count);
+        asks = random -> 1 + random.nextInt(2);
+        run(5 * SECOND, 1);
+        long born = start("m5");
+        run(10 * SECOND, 2);
+        assertBearable("m5", born, warmPerSecond(born), "steady");
+        long cold = sends.get("m5").stream().filter(at -> at >= born).count();
+        assertTrue(cold > 0.2 * 10 * warmPerSecond(born), "it is not starved: " + cold + " against "
+                + 10 * warmPerSecond(born));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 30, 100})
+    void whatAllHaveSavedForAColdMemberDoesNotGoOutAtOnce(int count) {
+        multiple = 2;
+        ramp = 60 * SECOND;
+        fleet(count);
+        run(5 * SECOND, 1);
+        long born = start("m5");
+        // Few ask for its group, then all do; half of what comes comes to a tenth of the routers.
+        asks = random -> random.nextInt(40) == 0 ? 1 : 2;
+        chooses = random -> random.nextInt(random.nextBoolean() ? Math.max(1, count / 10) : count);
+        run(8 * SECOND, 2);
+        asks = random -> 1;
+        long burst = now;
+        run(3 * SECOND, 3);
+        assertBearable("m5", born, warmPerSecond(burst), "burst");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {30, 100})
+    void whereNoMemberIsWarmAllTogetherDoNotRushThem(int count) {
+        fleet(count);
+        run(2 * SECOND, 1);
+        long born = start("m0", "m1", "m2", "m3", "m4", "m5", "k0", "k1", "k2", "k3", "k4", "k5");
+        run(200 * MS, 2);
+        for (String node : List.of("m1", "m2", "m3", "m4", "m5")) {
+            long sent = sends.getOrDefault(node, List.of()).stream().filter(at -> at >= born).count();
+            assertTrue(sent <= 20, node + ": " + sent);
+        }
+    }
+
     @Test
     void probesOfAllTogetherStayAFewInAHundredRequests() {
+        fleet(14);
         run(10 * SECOND, 3);
         assertTrue(probes < RATE * 10 * 0.06, "probes " + probes);
     }
 
     @Test
     void refusedReadsAreToldToComeBackInTimeAndNotAsOneWave() {
+        fleet(14);
         took = 1500 * MS;
         run(10 * SECOND, 4);
         assertTrue(advice.size() > 100, "refused " + advice.size());
