--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -35,8 +35,8 @@
     private static final long KILL = 700_000, LONGEST = 3_000_000;
     /** Before that all is answered; and before that again nothing new is taken. */
     private static final long ANSWERED = 250_000, LAST_CALL = 400_000;
-    /** Descriptors kept for files, listeners, discovery and the JVM. */
-    private static final int SPARE = 64;
+    /** Descriptors kept for files, listeners, discovery and the JVM; of these, connections on their way out may take some. */
+    private static final int SPARE = 64, PARTING = 16;
     private static final long PROBE = 250_000;
     /** How often it is looked whether all has ended, and how often that must be so in turn. */
     private static final long SETTLE = 10_000;
@@ -101,6 +101,7 @@
         // Two fronts and two pools share the sockets that one of each would have.
         int parts = file.mysql() == null ? 1 : 2;
         int sockets = Math.max(64, config.sockets() - SPARE);
+        net.bound(sockets + PARTING);
         int clients = Math.min(600, sockets * 5 / 9) / parts;
         front = new PgFront(pooler, clients);
         Pool.Bounds bounds = new Pool.Bounds(Math.min(480, sockets * 4 / 9) / parts, config.site().connectMicros(),
--- a/daemon/src/test/java/lupinvalve/net/AcceptorTest.java
+++ b/daemon/src/test/java/lupinvalve/net/AcceptorTest.java
@@ -23,6 +23,42 @@
 
 /** The system resets connections that wait to be taken when a port closes: during an upgrade each costs a request. */
 class AcceptorTest {
+    @Test
+    void noMoreAreOpenThanThereIsRoomForHoweverFastTheyCome() throws Exception {
+        List<Socket> clients = new ArrayList<>();
+        try (HeldCore pooler = new HeldCore(text -> text)) {
+            pooler.net.bound(20);
+            // The core ends none of them meanwhile.
+            HeldCore.Stop stop = pooler.stop();
+            stop.reached();
+            for (int i = 0; i < 60; i++) {
+                clients.add(new Socket(InetAddress.getLoopbackAddress(), pooler.listener.address().getPort()));
+            }
+            // Those that there was no room for are told so by their end.
+            clients.get(59).setSoTimeout(10_000);
+            assertEquals(-1, clients.get(59).getInputStream().read());
+            assertEquals(20, pooler.links.size());
+            stop.letGo();
+            for (int i = 0; i < 20; i++) {
+                clients.get(i).close();
+            }
+            World.await("there is room again", () -> {
+                try {
+                    Socket next = pooler.client();
+                    clients.add(next);
+                    HeldCore.ask(next, "");
+                    return HeldCore.answer(next).equals(List.of("I"));
+                } catch (Exception e) {
+                    return false;
+                }
+            });
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+        }
+    }
+
     @Test
     void whatWaitsToBeTakenAsThePortClosesIsTaken() throws Exception {
         ExecutorService threads = Executors.newCachedThreadPool();
@@ -30,7 +66,7 @@
         CountDownLatch reached = new CountDownLatch(1);
         CountDownLatch held = new CountDownLatch(1);
         AtomicInteger taken = new AtomicInteger();
-        Net.Acceptor acceptor = new Net.Acceptor(threads, processor, true) {
+        Net.Acceptor acceptor = new Net.Acceptor(threads, processor, true, new AtomicInteger(), () -> true) {
             @Override
             protected NioSession accept(IoProcessor<NioSession> by, ServerSocketChannel handle) throws Exception {
                 reached.countDown();
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -6,11 +6,13 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import lupinvalve.core.Loop;
@@ -39,6 +41,8 @@
     private final Loop loop;
     private final boolean urgent;
     private volatile BooleanSupplier fence;
+    private volatile int sessionsMost = Integer.MAX_VALUE;
+    private final AtomicInteger accepted = new AtomicInteger();
     private final Room memory = new Room(UNFINISHED_MOST);
     private final Executor threads = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(null, work, "net", 256 << 10);
@@ -79,6 +83,14 @@
         connector.setHandler(new Handler());
     }
 
+    /**
+     * Connections are let in only while fewer than so many are open, dialled ones counted. Guards the process's descriptors:
+     * a burst is taken in faster than what is past the fronts' bounds can be told so, and with none left nothing can be dialled.
+     */
+    public void bound(int sessions) {
+        sessionsMost = sessions;
+    }
+
     /** Connections from now on are secured as it is said now; those that are up stay. */
     public void secureAnew() {
         if (security != null) {
@@ -155,7 +167,8 @@
 
     private Listener listen(InetSocketAddress address, boolean shared, Function<IoSession, Link> accept)
             throws IOException {
-        NioSocketAcceptor acceptor = new Acceptor(threads, processor, shared);
+        NioSocketAcceptor acceptor = new Acceptor(threads, processor, shared, accepted,
+                () -> accepted.get() + connector.getManagedSessionCount() < sessionsMost);
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(BACKLOG);
         acceptor.setCloseOnDeactivation(false);
@@ -191,16 +204,23 @@
     }
 
     /**
-     * MINA's acceptor with two more duties: the address may be shared between the two processes of an upgrade, and the
-     * connections that wait to be taken when it closes are taken first, since the system would reset them.
+     * MINA's acceptor with three more duties: the address may be shared between the two processes of an upgrade, the
+     * connections that wait to be taken when it closes are taken first, since the system would reset them, and no more are
+     * open than there is room for.
      */
     static class Acceptor extends NioSocketAcceptor {
+        private static final int TURNS = 40, TURN = 5;
         private final boolean shared;
-        private boolean took;
+        private final AtomicInteger accepted;
+        private final BooleanSupplier room;
+        private boolean took, crowded;
 
-        Acceptor(Executor threads, SimpleIoProcessorPool<NioSession> processor, boolean shared) {
+        Acceptor(Executor threads, SimpleIoProcessorPool<NioSession> processor, boolean shared,
+                AtomicInteger accepted, BooleanSupplier room) {
             super(threads, processor);
             this.shared = shared;
+            this.accepted = accepted;
+            this.room = room;
         }
 
         @Override
@@ -224,11 +244,32 @@
 
         @Override
         protected NioSession accept(IoProcessor<NioSession> by, ServerSocketChannel handle) throws Exception {
+            if (!roomSoon()) {
+                SocketChannel turnedAway = handle.accept();
+                took = turnedAway != null;
+                if (took) {
+                    turnedAway.close();
+                }
+                return null;
+            }
             NioSession session = super.accept(by, handle);
             took = session != null;
+            if (took) {
+                accepted.incrementAndGet();
+                session.getCloseFuture().addListener(closed -> accepted.decrementAndGet());
+            }
             return session;
         }
 
+        /** Waits a little for connections that are being ended; those that come behind one that waited in vain don't. */
+        private boolean roomSoon() throws InterruptedException {
+            for (int i = 0; i < TURNS && !crowded && !room.getAsBoolean(); i++) {
+                Thread.sleep(TURN);
+            }
+            crowded = !room.getAsBoolean();
+            return !crowded;
+        }
+
         @Override
         protected void close(ServerSocketChannel handle) throws Exception {
             took = true;
@@ -291,6 +332,7 @@
 
         @Override
         public void inputClosed(IoSession session) {
+            link(session).leaves();
             session.closeNow();
         }
 
@@ -304,6 +346,7 @@
             if (!(cause instanceof IOException)) {
                 Log.failure("connection", cause);
             }
+            link(session).broken();
             session.closeNow();
         }
 
