Read the zones of the list a pooler had, and name settings that can't be with their value

The platform's file has known before settings, and NodeConfig read it with no zones: until its entries changed, each db node counted as in the first zone (NodeConfigTest, fails before). sockets and memory_mb of a wrong type were taken for 0, listen and discovery were not looked at before the start, and complaints did not tell the value.

--- a/config/src/main/java/lupinvalve/config/NodeConfig.java
+++ b/config/src/main/java/lupinvalve/config/NodeConfig.java
@@ -36,7 +36,6 @@
         double cores = 1;
         int memory = 192;
         int sockets = 1024;
-        ListReader.Listed known = new ListReader.Listed(0, true, List.of());
         SettingsReader.Site site = null;
         InetSocketAddress operator = null;
         try (JsonParser in = JSON.createParser(file.toFile())) {
@@ -51,7 +50,6 @@
                     case "listen" -> listen = in.getValueAsString();
                     case "discovery" -> discovery = in.getValueAsString();
                     case "seed" -> seed = seed(in.getValueAsString("0"));
-                    case "known" -> known = new ListReader(List.of(), mysqlPort).read(in);
                     case "operator" -> operator = in.currentToken() == JsonToken.VALUE_NULL ? null
                             : address(file + ": operator", in.getText());
                     case "settings" -> site = site(file, in);
@@ -62,9 +60,9 @@
                             if (limit.equals("cores")) {
                                 cores = cores(file, in);
                             } else if (limit.equals("memory_mb")) {
-                                memory = in.getValueAsInt();
+                                memory = count(file, in, "limits.memory_mb");
                             } else if (limit.equals("sockets")) {
-                                sockets = in.getValueAsInt();
+                                sockets = count(file, in, "limits.sockets");
                             } else {
                                 in.skipChildren();
                             }
@@ -77,6 +75,11 @@
         if (listen == null || site == null) {
             throw new IOException(file + ": " + (listen == null ? "listen" : "settings") + " is missing");
         }
+        address(file + ": listen", listen);
+        if (discovery != null) {
+            address(file + ": discovery", discovery);
+        }
+        ListReader.Listed known = known(file, new ListReader(site.zones(), mysqlPort));
         // Clients hold a third of the descriptors at most for requests.
         return new NodeConfig(name, listen, discovery, seed, cores, memory, sockets, known,
                 site.withOpen(Math.max(1, sockets / 3)), operator);
@@ -115,6 +118,31 @@
         }
     }
 
+    /** The list it had stands before the settings, and its zones are named there. */
+    private static ListReader.Listed known(Path file, ListReader reader) throws IOException {
+        try (JsonParser in = JSON.createParser(file.toFile())) {
+            in.nextToken();
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                String field = in.currentName();
+                in.nextToken();
+                if (field.equals("known")) {
+                    return reader.read(in);
+                }
+                in.skipChildren();
+            }
+        }
+        return new ListReader.Listed(0, true, List.of());
+    }
+
+    private static int count(Path file, JsonParser in, String field) throws IOException {
+        int count = in.currentToken() == JsonToken.VALUE_NUMBER_INT && in.getNumberType() == JsonParser.NumberType.INT
+                ? in.getIntValue() : 0;
+        if (count <= 0) {
+            throw new IOException(file + ": " + field + ": " + in.getText() + " is no count");
+        }
+        return count;
+    }
+
     private static double cores(Path file, JsonParser in) throws IOException {
         double cores = in.currentToken().isNumeric() ? in.getDoubleValue() : 0;
         if (!(cores > 0)) {
--- a/config/src/test/java/lupinvalve/config/NodeConfigTest.java
+++ b/config/src/test/java/lupinvalve/config/NodeConfigTest.java
@@ -41,6 +41,62 @@
         wrong("\"cores\": *[0-9.]+", "\"cores\": 0", "limits.cores", "0");
     }
 
+    @Test
+    void theListItHadIsReadWithTheZonesThatTheSettingsNameBehindIt() throws IOException {
+        String text = Files.readString(Path.of("example/config.json")).replace("\"almaty-main\"", "\"north\", \"south\"")
+                .replace("\"members\": []", "\"members\": [{\"id\": \"s-1\", \"host_port\": \"127.0.0.1:1\", \"locality\": \"south\","
+                        + " \"cell\": 1, \"phase\": \"in_service\", \"up_since_ms\": 0}]");
+        NodeConfig config = NodeConfig.read(Files.writeString(folder.resolve("config.json"), text), null);
+        assertEquals(1, config.known().entries().get(0).member().zone());
+    }
+
+    @Test
+    void whatIsMissingOfTheWrongTypeOrOutOfRangeIsNamedWithItsValue() throws IOException {
+        wrong("\"sockets\": *[0-9]+", "\"sockets\": \"many\"", "limits.sockets", "many");
+        wrong("\"sockets\": *[0-9]+", "\"sockets\": 0", "limits.sockets", "0");
+        wrong("\"memory_mb\": *[0-9]+", "\"memory_mb\": -3", "limits.memory_mb", "-3");
+        wrong("\"memory_mb\": *[0-9]+", "\"memory_mb\": 99999999999", "limits.memory_mb", "99999999999");
+        wrong("\"listen\": \"[^\"]*\"", "\"listen\": \"here\"", "listen", "here");
+        wrong("\"discovery\": \"[^\"]*\"", "\"discovery\": \"there:x\"", "discovery", "there:x");
+        wrong("\"connect_timeout_us\": *[0-9]+", "\"connect_timeout_us\": 0", "ceilings", "connect_timeout_us", "0");
+        wrong("\"keepalive_us\": *[0-9]+", "\"keepalive_us\": \"long\"", "ceilings", "keepalive_us", "long");
+        wrong("\"attempts_cap\": *[0-9]+", "\"attempts_cap\": 0", "ceilings.attempts_cap", "0");
+        wrong("\"attempts_cap\": *[0-9]+", "\"attempts_cap\": 2.5", "attempts_cap", "2.5");
+        wrong("\"may_cancel\": *true", "\"may_cancel\": \"yes\"", "may_cancel", "yes");
+        wrong("\"aim_us\": *600000", "\"aim_us\": -1", "classes.aim_us", "bag-status", "-1");
+        wrong("\"deadline_us\": *1200000", "\"deadline_us\": 0", "classes.deadline_us", "own-order-view", "0");
+        wrong("\"key_ttl_us\": *5000000", "\"key_ttl_us\": -5", "classes.key_ttl_us", "-5");
+        wrong("\"effect\": *\"unsafe\"", "\"effect\": \"harmless\"", "effect", "harmless");
+        wrong("\"group\": *\"all\"", "\"group\": \"street\"", "group", "street");
+        wrong("\"own-order-view\"", "\"bag-status\"", "classes.name", "bag-status");
+        wrong("\"causal\"", "\"casual\"", "class_read", "casual");
+        wrong("\"cold_from\": *[0-9.]+", "\"cold_from\": 1.5", "guarantees.cold_from", "1.5");
+        wrong("\"fall_multiple\": *[0-9.]+", "\"fall_multiple\": 0", "guarantees.fall_multiple", "0");
+        wrong("\"stop_sending_within_us\": *[0-9]+,?", "\"stop_sending_within_us\": null", "stop_sending_within_us",
+                "missing");
+        wrong("\"cross_zone\": *[0-9.]+", "\"cross_zone\": -0.1", "prices.cross_zone", "-0.1");
+        wrong("\"server_checks\": *\"bounce\"", "\"server_checks\": \"ask\"", "server_checks", "ask");
+        wrong("\"zone\": *0", "\"zone\": -1", "zone", "-1");
+    }
+
+    @Test
+    void anotherCustomersSettingsAreTakenAsTheyAre() throws IOException {
+        String text = Files.readString(Path.of("example/config.json"));
+        for (String[] change : new String[][] {{"\"bag-status\"", "\"stock by site; no. 1/2 \u00fc\""}, {"\"aim_us\": 600000",
+                "\"aim_us\": 50000"}, {"\"deadline_us\": 2000000", "\"deadline_us\": 100000"}, {"\"deadline_us\": 1200000",
+                "\"deadline_us\": 600000000"}, {"\"key_ttl_us\": 5000000", "\"key_ttl_us\": 0"}, {"\"attempts_cap\": 6",
+                "\"attempts_cap\": 1"}, {"\"max_open\": 33687", "\"max_open\": 1"}, {"\"probe\": 0.039", "\"probe\": 0"},
+                {"\"may_probe\": true", "\"may_probe\": false"}, {"\"via\": \"piggyback\"", "\"via\": \"silent\""},
+                {"\"role_listed\": \"trailing\"", "\"role_listed\": \"never\""}, {"\"almaty-main\"", ""}, {"\"worth\": 1.0",
+                "\"worth\": 0"}, {"\"retry_after\": true", "\"retry_after\": false"}}) {
+            assertTrue(text.contains(change[0]), change[0]);
+            NodeConfig.read(Files.writeString(folder.resolve("config.json"), text.replace(change[0], change[1])), null);
+        }
+        String fewer = text.replaceFirst("(?s)\"projects\": \\[.*?\\],", "").replaceFirst("(?s)\"dcs\": \\[.*?\\],", "");
+        assertTrue(fewer.length() < text.length() - 200);
+        NodeConfig.read(Files.writeString(folder.resolve("config.json"), fewer), null);
+    }
+
     @Test
     void operatorsAddressIsCheckedAndTheVariableGoesBeforeTheFile() throws IOException {
         for (String value : new String[] {"\"nowhere\"", "\"127.0.0.1\"", "\"127.0.0.1:\"", "\"127.0.0.1:70000\"",
--- a/decisions/src/main/java/lupinvalve/Routing.java
+++ b/decisions/src/main/java/lupinvalve/Routing.java
@@ -1,5 +1,6 @@
 package lupinvalve;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -61,14 +62,14 @@
     public record RequestClass(String name, Access access, long boundMicros, Effect effect, KeyScope keyScope,
             long keyTtlMicros, long aimMicros, long deadlineMicros, double worth, double lateShare) {
         public RequestClass {
-            require(access != null, "class_read");
-            require(effect != null, "classes.effect");
-            require(aimMicros > 0, "classes.aim_us");
-            require(deadlineMicros > 0, "classes.deadline_us");
-            require(keyTtlMicros >= 0, "classes.key_ttl_us");
-            require(boundMicros >= 0, "specifics.oldest_data_us");
-            require(worth >= 0, "classes.worth");
-            require(lateShare >= 0, "classes.late_value");
+            require(access != null, "class_read of class " + name, access);
+            require(effect != null, "classes.effect of class " + name, effect);
+            require(aimMicros > 0, "classes.aim_us of class " + name, aimMicros);
+            require(deadlineMicros > 0, "classes.deadline_us of class " + name, deadlineMicros);
+            require(keyTtlMicros >= 0, "classes.key_ttl_us of class " + name, keyTtlMicros);
+            require(boundMicros >= 0, "specifics.oldest_data_us of class " + name, boundMicros);
+            require(worth >= 0, "classes.worth of class " + name, worth);
+            require(lateShare >= 0, "classes.late_value of class " + name, lateShare);
         }
     }
 
@@ -80,9 +81,9 @@
     public record Limits(int attempts, boolean parallelAttempts, boolean cancel, boolean probe, boolean retryAfter,
             long maxRetryAfterMicros, long openMost) {
         public Limits {
-            require(openMost > 0, "ceilings.max_open");
-            require(attempts > 0, "ceilings.attempts_cap");
-            require(maxRetryAfterMicros >= 0, "ceilings.max_retry_after_us");
+            require(openMost > 0, "ceilings.max_open", openMost);
+            require(attempts > 0, "ceilings.attempts_cap", attempts);
+            require(maxRetryAfterMicros >= 0, "ceilings.max_retry_after_us", maxRetryAfterMicros);
         }
     }
 
@@ -90,22 +91,22 @@
     public record Rules(long answerSlackMicros, long drainGraceMicros, long askWithinMicros, double coldShare,
             long warmUpMicros, double overloadMultiple, long overloadMicros) {
         public Rules {
-            require(answerSlackMicros >= 0, "guarantees.answer_slack_us");
-            require(drainGraceMicros >= 0, "guarantees.stop_sending_within_us");
-            require(askWithinMicros >= 0, "guarantees.ask_within_us");
-            require(coldShare >= 0 && coldShare <= 1, "guarantees.cold_from");
-            require(warmUpMicros >= 0, "guarantees.ramp_time_us");
-            require(overloadMultiple > 0, "guarantees.fall_multiple");
-            require(overloadMicros >= 0, "guarantees.fall_us");
+            require(answerSlackMicros >= 0, "guarantees.answer_slack_us", answerSlackMicros);
+            require(drainGraceMicros >= 0, "guarantees.stop_sending_within_us", drainGraceMicros);
+            require(askWithinMicros >= 0, "guarantees.ask_within_us", askWithinMicros);
+            require(coldShare >= 0 && coldShare <= 1, "guarantees.cold_from", coldShare);
+            require(warmUpMicros >= 0, "guarantees.ramp_time_us", warmUpMicros);
+            require(overloadMultiple > 0, "guarantees.fall_multiple", overloadMultiple);
+            require(overloadMicros >= 0, "guarantees.fall_us", overloadMicros);
         }
     }
 
     /** How replication shows itself. */
     public record Replication(FreshnessCheck check, long waitMicros, TokenSource tokens) {
         public Replication {
-            require(check != null, "specifics.server_checks");
-            require(tokens != null, "specifics.session_marks");
-            require(waitMicros >= 0, "specifics.wait_us");
+            require(check != null, "specifics.server_checks", check);
+            require(tokens != null, "specifics.session_marks", tokens);
+            require(waitMicros >= 0, "specifics.wait_us", waitMicros);
         }
     }
 
@@ -124,16 +125,20 @@
 
         public Settings {
             classes = List.copyOf(classes);
-            require(!classes.isEmpty(), "classes");
-            require(routers > 0, "n_instances " + routers);
-            require(crossingPrice >= 0, "prices.cross_zone");
-            require(self >= 0 && self < routers, "me " + self + " of " + routers);
+            require(!classes.isEmpty(), "classes", "none");
+            List<String> names = new ArrayList<>(classes.stream().map(RequestClass::name).toList());
+            names.stream().distinct().toList().forEach(names::remove);
+            require(names.isEmpty(), "classes.name", "twice: " + names);
+            require(routers > 0, "n_instances", routers);
+            require(zone >= 0, "zone", zone);
+            require(crossingPrice >= 0, "prices.cross_zone", crossingPrice);
+            require(self >= 0 && self < routers, "me", self + " of " + routers);
         }
     }
 
-    private static void require(boolean holds, String setting) {
+    private static void require(boolean holds, String setting, Object value) {
         if (!holds) {
-            throw new IllegalArgumentException("setting out of range: " + setting);
+            throw new IllegalArgumentException("setting out of range: " + setting + " " + value);
         }
     }
 
--- a/simwire/src/main/java/lupinvalve/wire/Fields.java
+++ b/simwire/src/main/java/lupinvalve/wire/Fields.java
@@ -14,7 +14,15 @@
     }
 
     WireException wrong(String name, String what) {
-        return new WireException("message " + where + ": field " + name + " " + what);
+        Object value = values.get(name);
+        return new WireException("message " + where + ": field " + name + " " + what
+                + (value == null ? "" : ": " + shown(value)));
+    }
+
+    /** A value in a complaint: on one line, and not for ever. */
+    private static String shown(Object value) {
+        String text = String.valueOf(value).replaceAll("\\s+", " ");
+        return text.length() > 60 ? text.substring(0, 60) + "..." : text;
     }
 
     private Object needed(String name) {
--- a/simwire/src/main/java/lupinvalve/wire/SettingsReader.java
+++ b/simwire/src/main/java/lupinvalve/wire/SettingsReader.java
@@ -41,8 +41,21 @@
             rate += env.inner("projects", project).numberOr("quota_per_s", 0);
         }
         Routing.Settings settings = read(env);
-        return new Site(settings, limits.wholeOr("connect_timeout_us", 250_000),
-                limits.wholeOr("keepalive_us", 15_000_000), zones, rate / settings.routers());
+        return new Site(settings, time(limits, "connect_timeout_us", 250_000), time(limits, "keepalive_us", 15_000_000), zones,
+                rate / settings.routers());
+    }
+
+    private static long time(Fields limits, String name, long other) {
+        long micros = limits.wholeOr(name, other);
+        if (micros <= 0) {
+            throw limits.wrong(name, "is no time");
+        }
+        return micros;
+    }
+
+    /** A count that may be as good as unbounded. */
+    private static int count(long value) {
+        return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, value));
     }
 
     static Routing.Settings read(Fields env) {
@@ -50,10 +63,10 @@
         Fields rules = env.object("guarantees");
         Fields family = env.object("specifics");
         try {
-            return new Routing.Settings((int) env.whole("me"), (int) env.whole("n_instances"),
-                    (int) env.wholeOr("zone", 0), env.text("registry_mode").equals("subscribe"),
+            return new Routing.Settings(count(env.whole("me")), count(env.whole("n_instances")),
+                    count(env.wholeOr("zone", 0)), env.text("registry_mode").equals("subscribe"),
                     classes(env, family),
-                    new Routing.Limits((int) limits.whole("attempts_cap"), limits.flagOr("parallel_tries", false),
+                    new Routing.Limits(count(limits.whole("attempts_cap")), limits.flagOr("parallel_tries", false),
                             limits.flagOr("may_cancel", false), limits.flagOr("may_probe", false),
                             limits.flagOr("retry_after", false), limits.wholeOr("max_retry_after_us", 0),
                             limits.wholeOr("max_open", Integer.MAX_VALUE)),
