Look once at what comes between the decision to end a connection and its end

Line at fault: Net.Processor.read left the interest in reading. Now it takes the interest away itself.

--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -57,6 +57,7 @@
     private final Object gate = new Object();
     private long bytesRead;
     private boolean barred;
+    private int barredReads;
     private final AtomicInteger ahead = new AtomicInteger();
     /** The core wants no more to be read for now; and it wants to know once the peer has read most of what was written. */
     private volatile boolean held;
@@ -107,6 +108,7 @@
     int read(Read read) throws Exception {
         synchronized (gate) {
             if (barred) {
+                barredReads++;
                 return 0;
             }
             int count = read.run();
@@ -115,6 +117,20 @@
         }
     }
 
+    /** Whether the core has decided to end the connection, and nothing more is read from it. */
+    boolean isBarred() {
+        synchronized (gate) {
+            return barred;
+        }
+    }
+
+    /** How often the processor came to read all the same. */
+    int barredReads() {
+        synchronized (gate) {
+            return barredReads;
+        }
+    }
+
     void dialling(ConnectFuture future) {
         dialling = future;
     }
@@ -381,18 +397,22 @@
                 || session.getScheduledWriteBytes() > 0 && now - writtenAt < patience) {
             return false;
         }
-        synchronized (gate) {
-            if (bytesRead != bytesTold) {
-                return false;
-            }
-            barred = true;
+        if (!bar()) {
+            return false;
         }
-        // What comes from now on stays in the socket; without this the processor would wake for it in vain.
         session.suspendRead();
         finish();
         return true;
     }
 
+    /** What comes from now on stays in the socket, unless something has been read that has not been told. */
+    boolean bar() {
+        synchronized (gate) {
+            barred |= bytesRead == bytesTold;
+            return barred;
+        }
+    }
+
     /** Closes once all that was written has been handed to the socket; no further events come. */
     public void finish() {
         over = true;
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -108,7 +108,16 @@
         @Override
         protected int read(NioSession session, IoBuffer in) throws Exception {
             Link link = (Link) session.getAttribute(LINK);
-            return link == null ? super.read(session, in) : link.read(() -> super.read(session, in));
+            if (link == null) {
+                return super.read(session, in);
+            }
+            int count = link.read(() -> super.read(session, in));
+            if (link.isBarred()) {
+                // Until the core has come to its next step the socket stays readable: this thread would come round again
+                // and again without a pause, which leaves the core no time where both share a part of a core.
+                setInterestedInRead(session, false);
+            }
+            return count;
         }
 
         @Override
