--- a/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
+++ b/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
@@ -21,7 +21,7 @@
     @Option(name = "--groups", usage = "db sets of three db nodes each")
     private int groups = 2;
 
-    @Option(name = "--mix", usage = "what kinds are drawn: all, store, one-way, flapping")
+    @Option(name = "--mix", usage = "what kinds are drawn: all, store, one-way, flapping, crossing")
     private String mix = "all";
 
     @Option(name = "--scenario", metaVar = "FILE", usage = "faults from a file in place of a seed")
--- a/rig/src/main/java/lupinvalve/rig/Book.java
+++ b/rig/src/main/java/lupinvalve/rig/Book.java
@@ -18,6 +18,8 @@
         CLOSED,
         /** No answer in time, on a connection that stayed open. */
         SILENT,
+        /** The client has gone without waiting for one. */
+        LEFT,
         /** It never was on a connection that was accepted. */
         NOT_TAKEN
     }
--- a/rig/src/main/java/lupinvalve/rig/DbNodes.java
+++ b/rig/src/main/java/lupinvalve/rig/DbNodes.java
@@ -8,6 +8,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -27,6 +28,10 @@
     /** Told of each statement that was run. */
     public interface Seen {
         void ran(DbNode node, String pooler, Map<String, String> fields, boolean write);
+
+        /** The same as it came, before anything was made of it. */
+        default void came(DbNode node, String pooler, Map<String, String> fields) {
+        }
     }
 
     /** One stand-in: a port for each pooler, so that it is known who asks. */
@@ -107,12 +112,13 @@
                 byte[] body = in.readNBytes(in.readInt() - 4);
                 String statement = new String(body, 0, body.length - 1, UTF_8);
                 if (statement.startsWith("SHOW vitals")) {
-                    row(out, "x0=" + position() / 1000.0 + ",x1=" + (primary ? 1 : 0));
+                    row(out, "x0=" + BigDecimal.valueOf(position(), 3).toPlainString() + ",x1=" + (primary ? 1 : 0));
                     ready(out);
                     continue;
                 }
                 Map<String, String> fields = fields(statement);
                 boolean write = statement.startsWith("INSERT");
+                told.came(this, pooler, fields);
                 waits();
                 String code = null;
                 long seen;
--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -22,6 +22,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import lupinvalve.Routing;
+import lupinvalve.config.NodeConfig;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 
@@ -39,6 +41,8 @@
     private static final int OPERATORS = 3, CLIENTS = 3, WITHIN_SECONDS = 30;
     /** How long a pooler that stood still owes nothing: what it held has run out by then. */
     private static final long WOKEN = 3_000;
+    /** What a silent watch misses counts as told so long after it fell silent. */
+    private static final long MISSED = 6_000;
 
     /**
      * What a drill is made of.
@@ -129,6 +133,18 @@
             }
         }
 
+        /** How long its life takes until it takes clients, unless that ends before. */
+        private void timeStart() throws InterruptedException {
+            long begun = process.startedAt();
+            while (!over && process.runs() && process.startedAt() == begun) {
+                if (SqlClients.takes(pg)) {
+                    timing.ready(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun));
+                    return;
+                }
+                Thread.sleep(20);
+            }
+        }
+
         /** What a disk that lied about its forces would have kept. */
         private void forget() throws IOException {
             try (Stream<Path> files = Files.list(folder.resolve(name))) {
@@ -150,6 +166,7 @@
                     book.down(name, since, System.currentTimeMillis());
                 }
                 process.start();
+                Threads.start("ready " + name, this::timeStart);
             }
         }
     }
@@ -171,12 +188,13 @@
     private final Path folder = Files.createTempDirectory("drill");
     private final DbNodes nodes;
     private final Book book = new Book();
+    private final Timing timing;
     private final List<Pooler> poolers = new ArrayList<>();
     private final StoreClients operators;
     private final SqlClients clients;
     private final Histogram recoveries = new ConcurrentHistogram(60_000_000, 3);
     private final Set<Integer> terms = new ConcurrentSkipListSet<>();
-    private final Map<String, Long> downSince = new TreeMap<>();
+    private final Map<String, Long> downSince = new TreeMap<>(), silentAt = new TreeMap<>(), drainedAt = new TreeMap<>();
     private final Map<Step.Kind, Integer> done = new EnumMap<>(Step.Kind.class);
     private final List<Step> course = new ArrayList<>();
     private final List<String> unclean = new ArrayList<>();
@@ -188,9 +206,20 @@
     public Drill(Setting setting) throws IOException {
         this.setting = setting;
         Scenario scenario = setting.scenario();
-        nodes = new DbNodes(scenario.groups(), (node, pooler, fields, write) -> {
-            book.ran(fields.getOrDefault("id", "?"), node.id);
-            watcher.ran(node.id, pooler, System.currentTimeMillis());
+        Routing.Rules rules = NodeConfig.read(setting.config(), null).site().settings().rules();
+        timing = new Timing(new Timing.Rules(rules.drainGraceMicros() / 1000, rules.coldShare(), rules.warmUpMicros() / 1000,
+                rules.overloadMultiple(), rules.overloadMicros() / 1000));
+        nodes = new DbNodes(scenario.groups(), new DbNodes.Seen() {
+            @Override
+            public void ran(DbNodes.DbNode node, String pooler, Map<String, String> fields, boolean write) {
+                book.ran(fields.getOrDefault("id", "?"), node.id);
+                watcher.ran(node.id, pooler, System.currentTimeMillis());
+            }
+
+            @Override
+            public void came(DbNodes.DbNode node, String pooler, Map<String, String> fields) {
+                timing.came(node.id, pooler, fields.getOrDefault("id", "?"), System.currentTimeMillis());
+            }
         });
         Map<String, String> places = new TreeMap<>();
         // Held until the proxies have theirs.
@@ -208,7 +237,7 @@
             }
         }
         operators = new StoreClients(places, setting.seed());
-        clients = new SqlClients(book, scenario.groups());
+        clients = new SqlClients(book, timing, scenario.groups());
         for (Pooler pooler : poolers) {
             pooler.files();
         }
@@ -357,6 +386,12 @@
                     pooler(step.who()).start();
                 }
             }
+            case LIST_SILENT -> {
+                if (on) {
+                    pooler(step.who()).list.fallSilent();
+                    silentAt.put(step.who(), System.currentTimeMillis());
+                }
+            }
             case RELOAD -> {
                 if (on && !pooler(step.who()).process.paused()) {
                     pooler(step.who()).process.reload();
@@ -369,22 +404,27 @@
     private void pause(Pooler pooler, boolean on) throws IOException, InterruptedException {
         if (on && pooler.process.runs()) {
             downSince.put(pooler.name, System.currentTimeMillis());
+            timing.disturbed(pooler.name, null, System.currentTimeMillis(), System.currentTimeMillis() + WOKEN);
             pooler.process.pause(true);
         } else if (pooler.process.paused()) {
             pooler.process.pause(false);
-            book.down(pooler.name, downSince.remove(pooler.name), System.currentTimeMillis() + WOKEN);
+            long since = downSince.remove(pooler.name);
+            book.down(pooler.name, since, System.currentTimeMillis() + WOKEN);
+            timing.disturbed(pooler.name, null, since, System.currentTimeMillis() + WOKEN);
         }
     }
 
     private void actOnNode(Step step, DbNodes.DbNode node, boolean on) throws IOException {
         switch (step.kind()) {
             case NODE_PAUSE -> node.pause(on);
+            case NODE_DRAIN -> drain(node, on);
             case NODE_SLOW -> node.slow(on ? (long) step.amount() : 0);
             default -> {
                 if (on && !node.isDead()) {
                     node.kill();
                 } else if (!on && node.isDead()) {
                     node.back();
+                    timing.started(node.id, System.currentTimeMillis());
                     for (Pooler each : poolers) {
                         each.list.started(node);
                     }
@@ -393,8 +433,27 @@
         }
     }
 
+    /** What a watch that fell silent misses counts as told 6 s later; else it counts as it is written. */
+    private void drain(DbNodes.DbNode node, boolean on) {
+        for (Pooler each : poolers) {
+            each.list.drains(node, on);
+            long now = System.currentTimeMillis();
+            if (on) {
+                Long silent = silentAt.get(each.name);
+                drainedAt.put(each.name + " " + node.id, silent != null && silent + MISSED > now ? silent + MISSED : now);
+            } else {
+                Long from = drainedAt.remove(each.name + " " + node.id);
+                if (from != null && from < now) {
+                    timing.drained(each.name, node.id, from, now);
+                }
+            }
+        }
+    }
+
     private void between(Step step, boolean on) {
         Pooler one = pooler(step.who());
+        long now = System.currentTimeMillis();
+        timing.disturbed(step.who(), step.to().startsWith("n") ? step.to() : null, now, now + step.forMillis());
         Set<String> ends = new HashSet<>();
         if (step.to().equals(Step.ALL)) {
             ends.addAll(one.ways.keySet());
@@ -494,6 +553,7 @@
     /** What came of it. */
     public final class Result {
         private final Book.Verdict requests;
+        private final Timing.Verdict times = timing.verdict();
         private final List<String> divergent;
         private final int lostPuts;
 
@@ -504,7 +564,7 @@
         }
 
         public boolean good() {
-            return requests.good() && divergent.isEmpty() && lostPuts == 0 && unclean.isEmpty();
+            return requests.good() && times.good() && divergent.isEmpty() && lostPuts == 0 && unclean.isEmpty();
         }
 
         /** How many requests clients made. */
@@ -515,6 +575,7 @@
         /** All that was found wrong. */
         public List<String> findings() {
             List<String> all = new ArrayList<>(requests.findings());
+            all.addAll(times.findings());
             all.addAll(divergent);
             all.addAll(unclean);
             return all;
@@ -530,7 +591,9 @@
                     + "\"flaps\":%d,\"slow_links\":%d,\"half_open\":%d,\"pauses\":%d,\"restarts\":%d,\"reloads\":%d,"
                     + "\"node_faults\":%d,"
                     + "\"requests\":%d,\"served\":%d,\"refused\":%d,\"failed\":%d,\"lost\":%d,\"doubled\":%d,\"divergent\":%d,"
-                    + "\"unanswered\":%d,\"refused_ran\":%d,\"stale\":%d,\"unclean\":%d,\"acknowledged\":%d,\"elections\":%d,"
+                    + "\"unanswered\":%d,\"refused_ran\":%d,\"stale\":%d,\"left\":%d,\"late_after_departure\":%d,\"late_after_drain\":%d,"
+                    + "\"cold_overrun\":%d,\"restarts_timed\":%d,\"not_ready_10s\":%d,\"drains\":%d,\"silences\":%d,"
+                    + "\"unclean\":%d,\"acknowledged\":%d,\"elections\":%d,"
                     + "\"failovers\":%d,\"failover_p50_ms\":%.0f,\"failover_p99_ms\":%.0f,\"commit_p50_ms\":%.1f,"
                     + "\"commit_p99_ms\":%.1f,\"recovery_p99_ms\":%.0f}", poolers.size(), setting.seed(),
                     count(Step.Kind.KILL, Step.Kind.POWER), count(Step.Kind.CUT), count(Step.Kind.CUT_THERE),
@@ -539,6 +602,8 @@
                     Step.Kind.NODE_SLOW), requests.requests(), requests.count(Book.Ending.SERVED),
                     requests.count(Book.Ending.REFUSED), requests.count(Book.Ending.FAILED), requests.lost() + lostPuts,
                     requests.doubled(), divergent.size(), requests.unanswered(), requests.refusedRan(), requests.stale(),
+                    requests.count(Book.Ending.LEFT), times.lateAfterDeparture(), times.lateAfterDrain(), times.coldOverrun(),
+                    times.restarts(), times.notReady(), count(Step.Kind.NODE_DRAIN), count(Step.Kind.LIST_SILENT),
                     unclean.size(), operators.checker.acknowledged(), terms.size(), operators.failovers.getTotalCount(),
                     ms(operators.failovers, 50), ms(operators.failovers, 99), ms(operators.commits, 50),
                     ms(operators.commits, 99), ms(recoveries, 99));
--- a/rig/src/main/java/lupinvalve/rig/NodeList.java
+++ b/rig/src/main/java/lupinvalve/rig/NodeList.java
@@ -11,8 +11,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 
@@ -24,7 +26,9 @@
     private final List<DbNodes.DbNode> nodes;
     private final Map<String, String> addresses;
     private final List<String> zones;
+    private final List<Socket> silent = new CopyOnWriteArrayList<>();
     private int revision = 1;
+    private final Set<String> draining = new HashSet<>();
 
     /** @param addresses of db nodes as this pooler reaches them */
     NodeList(List<DbNodes.DbNode> nodes, Map<String, String> addresses, List<String> zones) throws IOException {
@@ -51,7 +55,8 @@
 
     private String entry(DbNodes.DbNode node) {
         return "{\"id\":\"" + node.id + "\",\"host_port\":\"" + addresses.get(node.id) + "\",\"locality\":\"" + zones.get(node.zone)
-                + "\",\"cell\":" + node.group + ",\"phase\":\"in_service\",\"size\":1.0,\"up_since_ms\":" + node.startedAt() + "}";
+                + "\",\"cell\":" + node.group + ",\"phase\":\"" + (draining.contains(node.id) ? "terminating" : "in_service")
+                + "\",\"size\":1.0,\"up_since_ms\":" + node.startedAt() + "}";
     }
 
     /** The list's entries, for a start before discovery answers. */
@@ -78,7 +83,23 @@
         socket.close();
     }
 
-    /** A db node has started again. */
+    /** A db node drains, or no longer. */
+    synchronized void drains(DbNodes.DbNode node, boolean now) {
+        if (now) {
+            draining.add(node.id);
+        } else {
+            draining.remove(node.id);
+        }
+        started(node);
+    }
+
+    /** What is open now stays open and says nothing more. */
+    synchronized void fallSilent() {
+        silent.addAll(watching);
+        watching.clear();
+    }
+
+    /** A db node has started again, or its entry has changed otherwise. */
     synchronized void started(DbNodes.DbNode node) {
         revision++;
         push("{\"revision\":" + revision + ",\"complete\":false,\"members\":[" + entry(node) + "]}\n");
@@ -108,5 +129,8 @@
         for (Socket socket : watching) {
             socket.close();
         }
+        for (Socket socket : silent) {
+            socket.close();
+        }
     }
 }
--- a/rig/src/main/java/lupinvalve/rig/Scenario.java
+++ b/rig/src/main/java/lupinvalve/rig/Scenario.java
@@ -191,7 +191,10 @@
         /** All there is. */
         ALL(Step.Kind.KILL, Step.Kind.KILL, Step.Kind.PAUSE, Step.Kind.PAUSE, Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.RELOAD, Step.Kind.CUT,
                 Step.Kind.CUT_THERE, Step.Kind.CUT_THERE, Step.Kind.FLAP, Step.Kind.SLOW, Step.Kind.LOSSY, Step.Kind.LIMIT, Step.Kind.HALF_OPEN,
-                Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE, Step.Kind.NODE_SLOW, Step.Kind.POWER);
+                Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE, Step.Kind.NODE_SLOW, Step.Kind.POWER),
+        /** Ends that are crossed by others: poolers told to end, silent lists, db nodes that drain or come back cold. */
+        CROSSING(Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.KILL, Step.Kind.RELOAD, Step.Kind.LIST_SILENT, Step.Kind.LIST_SILENT,
+                Step.Kind.NODE_DRAIN, Step.Kind.NODE_DRAIN, Step.Kind.NODE_KILL, Step.Kind.NODE_SLOW);
 
         private final Step.Kind[] kinds;
 
@@ -216,7 +219,7 @@
                     || kind == Step.Kind.POWER && !spare) {
                 continue;
             }
-            if (kind == Step.Kind.RELOAD) {
+            if (kind == Step.Kind.RELOAD || kind == Step.Kind.LIST_SILENT) {
                 steps.add(new Step(at, kind, "p" + one, "", 0, 0));
             } else if (kind == Step.Kind.POWER) {
                 java.util.Arrays.fill(downUntil, until + 3_000);
--- a/rig/src/main/java/lupinvalve/rig/SqlClients.java
+++ b/rig/src/main/java/lupinvalve/rig/SqlClients.java
@@ -18,14 +18,18 @@
 /** Clients of all poolers, a session each, which ask one thing after another and tell the book what came of it. */
 final class SqlClients {
     private static final int DEADLINE = 2_000, SLACK = 500, CONNECT = 1_000, PAUSE_MOST = 30;
+    /** One request in so many is left by its client, within so many ms. */
+    private static final int LEAVES = 20, LEAVES_WITHIN = 60;
     private final Book book;
+    private final Timing timing;
     private final int groups;
     private final AtomicLong numbers = new AtomicLong();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean over;
 
-    SqlClients(Book book, int groups) {
+    SqlClients(Book book, Timing timing, int groups) {
         this.book = book;
+        this.timing = timing;
         this.groups = groups;
     }
 
@@ -124,6 +128,14 @@
                 out.write(bytes);
                 out.flush();
                 ending = Book.Ending.CLOSED;
+                if (random.nextInt(LEAVES) == 0) {
+                    Thread.sleep(random.nextInt(LEAVES_WITHIN));
+                    ending = Book.Ending.LEFT;
+                    socket.setSoLinger(random.nextBoolean(), 0);
+                    socket.close();
+                    timing.left(id, System.currentTimeMillis());
+                    return;
+                }
                 Answer answer = answer(in);
                 boolean refused = "53300".equals(answer.code) || "57P03".equals(answer.code);
                 ending = answer.code == null && answer.value != null ? Book.Ending.SERVED
--- a/rig/src/main/java/lupinvalve/rig/Step.java
+++ b/rig/src/main/java/lupinvalve/rig/Step.java
@@ -49,7 +49,11 @@
         /** A db node stands still. */
         NODE_PAUSE(false, false),
         /** A db node takes so many ms more for each request. */
-        NODE_SLOW(false, true);
+        NODE_SLOW(false, true),
+        /** A db node is listed as leaving, and goes on. */
+        NODE_DRAIN(false, false),
+        /** The pooler's open watches say nothing more; new calls are answered. */
+        LIST_SILENT(false, false);
 
         /** Whether it strikes a connection. */
         public final boolean between;
@@ -72,7 +76,8 @@
         }
     }
 
-    private static final Set<Kind> NODES = EnumSet.of(Kind.NODE_KILL, Kind.NODE_PAUSE, Kind.NODE_SLOW);
+    private static final Set<Kind> NODES = EnumSet.of(Kind.NODE_KILL, Kind.NODE_PAUSE, Kind.NODE_SLOW,
+            Kind.NODE_DRAIN);
     private static final Set<Kind> DOWNS = EnumSet.of(Kind.KILL, Kind.PAUSE);
 
     @Override
