Tell the router by its number of an attempt that was not begun for a client that had gone

Found by reading the change again: Pooler.send told of attempt 0 whatever the number was, so a further attempt stayed in the router's books, and its db node counted as overdue from then on and was not used. DepartureTest, which now asks again after 1.5 s, fails before (53300 for a booking).

--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -631,20 +631,20 @@
 
     private void send(Routing.Send send) {
         Held held = byId.get(send.id());
-        if (held != null && held.front.left(held.ticket)) {
-            // The core has not come to its client's end yet, which may be long ago by then.
-            leave(held);
-            held = null;
-        }
         long now = loop.now();
         int number = held == null ? 0 : held.attempts++;
         if (number == 0 && held != null) {
             held.firstSent = now;
         }
+        boolean deserted = held != null && held.front.left(held.ticket);
+        if (deserted) {
+            // The core has not come to its client's end yet, which may be long ago by then.
+            leave(held);
+        }
         Instance instance = instances.get(send.node());
         String address = held == null || instance == null ? null : instance.addresses.get(held.ask.protocol());
-        if (held == null || address == null || attempts.full() || fenced()) {
-            feed(new Routing.Outcome(send.id(), number, send.node(), Ending.NOT_SENT, 0, held == null,
+        if (deserted || address == null || attempts.full() || fenced()) {
+            feed(new Routing.Outcome(send.id(), number, send.node(), Ending.NOT_SENT, 0, deserted || held == null,
                     Routing.NO_POSITION, Routing.Role.UNKNOWN));
             return;
         }
--- a/daemon/src/test/java/lupinvalve/net/DepartureTest.java
+++ b/daemon/src/test/java/lupinvalve/net/DepartureTest.java
@@ -111,6 +111,10 @@
             World.await("over", () -> over(pooler));
             assertEquals(1, primary.seen.size());
             assertNothingMoreComes(pooler, primary, 1);
+            // Nor is anything left in the books: one that seems to be out for good would keep its db node from being used.
+            long rested = System.nanoTime();
+            World.await("rested", () -> System.nanoTime() - rested > 1_500_000_000L);
+            assertNothingMoreComes(pooler, primary, 2);
         }
     }
 
