--- a/rig/src/main/java/lupinvalve/rig/NodeList.java
+++ b/rig/src/main/java/lupinvalve/rig/NodeList.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,7 @@
     private final List<String> zones;
     private final List<Socket> silent = new CopyOnWriteArrayList<>();
     private int revision = 1;
+    private final List<Long> answers = new ArrayList<>();
     private final Set<String> draining = new HashSet<>();
 
     /** @param addresses of db nodes as this pooler reaches them */
@@ -76,6 +78,7 @@
             chunk(socket, "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + entries() + "]}\n");
             if (head != null && head.contains("follow=1")) {
                 watching.add(socket);
+                answers.add(System.currentTimeMillis());
                 return;
             }
         }
@@ -93,6 +96,11 @@
         started(node);
     }
 
+    /** When the first watch since then was told the whole list, in Unix milliseconds, or the far future where none was. */
+    synchronized long firstAnswerSince(long at) {
+        return answers.stream().filter(answer -> answer >= at).findFirst().orElse(Long.MAX_VALUE);
+    }
+
     /** What is open now stays open and says nothing more. */
     synchronized void fallSilent() {
         silent.addAll(watching);
