--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -265,7 +265,7 @@
         }
     }
 
-    /** Nobody waits for the request any more: what is out is called off where that is allowed, and what is not out stays. */
+    /** Nobody waits for the request any more: what is out is called off where that is allowed, the rest taken back. */
     private void leave(Held held) {
         close(held, "left", null);
         feed(new Routing.ClientGone(held.id));
--- a/decisions/src/test/java/lupinvalve/FleetTest.java
+++ b/decisions/src/test/java/lupinvalve/FleetTest.java
@@ -33,6 +33,10 @@
     private java.util.function.ToIntFunction<SplittableRandom> chooses = random -> random.nextInt(routers.size()), asks = random -> 1;
 
     private void fleet(int count) {
+        fleet(count, 1);
+    }
+
+    private void fleet(int count, int groups) {
         Routing.RequestClass read = new Routing.RequestClass("read", Routing.Access.BOUNDED, 500 * MS,
                 Routing.Effect.SAFE, Routing.KeyScope.ALL, 0, 600 * MS, 2000 * MS, 1, 0);
         for (int i = 0; i < count; i++) {
@@ -46,7 +50,9 @@
         List<Routing.Member> members = new ArrayList<>();
         for (int i = 0; i <= WARM_MEMBERS; i++) {
             members.add(new Routing.Member("m" + i, 1, 0, Routing.Health.LIVE, i == 0, 0));
-            members.add(new Routing.Member("k" + i, 2, 0, Routing.Health.LIVE, i == 0, 0));
+            if (groups == 2) {
+                members.add(new Routing.Member("k" + i, 2, 0, Routing.Health.LIVE, i == 0, 0));
+            }
         }
         all(new Routing.Members(Routing.ListForm.FULL, members));
     }
@@ -147,7 +153,7 @@
     void howeverManyTheyAreTheyKeepAColdMemberUnderWhatItCanBearAndDoNotStarveIt(int count) {
         multiple = 2;
         ramp = 20 * SECOND;
-        fleet(count);
+        fleet(count, 2);
         asks = random -> 1 + random.nextInt(2);
         run(5 * SECOND, 1);
         long born = start("m5");
@@ -163,7 +169,7 @@
     void whatAllHaveSavedForAColdMemberDoesNotGoOutAtOnce(int count) {
         multiple = 2;
         ramp = 60 * SECOND;
-        fleet(count);
+        fleet(count, 2);
         run(5 * SECOND, 1);
         long born = start("m5");
         // Few ask for its group, then all do; half of what comes comes to a tenth of the routers.
@@ -179,7 +185,7 @@
     @ParameterizedTest
     @ValueSource(ints = {30, 100})
     void whereNoMemberIsWarmAllTogetherDoNotRushThem(int count) {
-        fleet(count);
+        fleet(count, 2);
         run(2 * SECOND, 1);
         long born = start("m0", "m1", "m2", "m3", "m4", "m5", "k0", "k1", "k2", "k3", "k4", "k5");
         run(200 * MS, 2);
