--- a/daemon/src/main/java/lupinvalve/cli/Files.java
+++ b/daemon/src/main/java/lupinvalve/cli/Files.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import lupinvalve.config.NodeConfig;
 import lupinvalve.config.OperatorConfig;
 import org.kohsuke.args4j.Option;
@@ -25,6 +26,11 @@
                 .withOperator("NODE_OPERATOR", System.getenv("NODE_OPERATOR"));
     }
 
+    /** Where the files are that are read. */
+    List<Path> paths() {
+        return operator == null ? List.of(config()) : List.of(config(), operator);
+    }
+
     private Path config() {
         if (config != null) {
             return config;
