Count a pooler as told of a drain at its first answer or after 6 s, whichever is first

The judge had counted a pooler that was starting, or had been started since, as told only once its own watch was answered (Drill.drain, NodeList.firstAnswerSince). That was wrong: a watch that is never answered gave Long.MAX_VALUE, so such a pooler was never told and could send to the db node until the drain's end. The term is the first answer or 6 s after discovery had the change, whichever comes first, whatever calls failed, were refused or given up. It was also wrong before that: a drain counted as told at once to a pooler with no open watch.

DrainNotice decides when told, Drains keeps all drains, both without I/O. An answer counts when discovery writes it to a call whose caller has not ended its connection; a process that is started learns from its own answer, and its start does not set the 6 s back; a silent watch binds 6 s after it fell silent, until another is answered. Drains of one db node that overlap are one (the second had overwritten the first's begin, and the first's end ended both). The end is taken before discovery writes it, the arrival at a statement's first byte.

--- a/lab/src/main/java/lupinvalve/lab/DrillOptions.java
+++ b/lab/src/main/java/lupinvalve/lab/DrillOptions.java
@@ -19,6 +19,9 @@
     @Option(name = "--keep", usage = "keep the folder with the logs")
     boolean keep;
 
+    @Option(name = "--debug", usage = "daemons log each attempt; with --keep")
+    boolean debug;
+
     @Option(name = "--json", usage = "only the last line")
     private boolean json;
 
--- a/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
+++ b/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
@@ -60,6 +60,9 @@
             throws Exception {
         PrintStream log = told.log(out);
         Drill drill = new Drill(new Drill.Setting(scenario, told.config, told.seed, lying, log, java.util.List.of(), 0, "off"));
+        if (told.debug) {
+            drill.debug();
+        }
         try {
             drill.start();
             if (leaderKillsMillis > 0) {
--- a/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -24,6 +24,7 @@
     private final List<String> main = new ArrayList<>(List.of("lupinvalve.cli.Main"));
     private Process process;
     private boolean paused;
+    private boolean debugs;
     private volatile long startedAt;
 
     /** @param lines hears each line of the log */
@@ -41,6 +42,11 @@
         main.addAll(command);
     }
 
+    /** Has its next starts log each attempt. */
+    public void debug() {
+        debugs = true;
+    }
+
     /** Writes the files that it starts from. */
     public void files(String platform, String operators) throws IOException {
         Files.writeString(config, platform);
@@ -70,6 +76,9 @@
                 System.getProperty("java.class.path")));
         command.addAll(main);
         command.addAll(List.of("serve", "--config", config.toString(), "--operator", operator.toString()));
+        if (debugs) {
+            command.add("--debug");
+        }
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         Process mine = process;
         Threads.start("log of " + name, () -> read(mine));
--- a/rig/src/main/java/lupinvalve/rig/DbNodes.java
+++ b/rig/src/main/java/lupinvalve/rig/DbNodes.java
@@ -29,8 +29,8 @@
     public interface Seen {
         void ran(DbNode node, String pooler, Map<String, String> fields, boolean write);
 
-        /** The same as it came, before anything was made of it. */
-        default void came(DbNode node, String pooler, Map<String, String> fields) {
+        /** The same as it came, before anything was made of it; its first byte at a Unix time in milliseconds. */
+        default void came(DbNode node, String pooler, Map<String, String> fields, long at) {
         }
     }
 
@@ -109,6 +109,7 @@
             message(out, 'R', new byte[4]);
             ready(out);
             while (in.read() == 'Q') {
+                long cameAt = System.currentTimeMillis();
                 byte[] body = in.readNBytes(in.readInt() - 4);
                 String statement = new String(body, 0, body.length - 1, UTF_8);
                 if (statement.startsWith("SHOW vitals")) {
@@ -118,7 +119,7 @@
                 }
                 Map<String, String> fields = fields(statement);
                 boolean write = statement.startsWith("INSERT");
-                told.came(this, pooler, fields);
+                told.came(this, pooler, fields, cameAt);
                 waits();
                 String code = null;
                 long seen;
--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import lupinvalve.Routing;
 import lupinvalve.config.NodeConfig;
@@ -41,8 +42,6 @@
     private static final int OPERATORS = 3, CLIENTS = 3, WITHIN_SECONDS = 30;
     /** How long a pooler that stood still owes nothing: what it held has run out by then. */
     private static final long WOKEN = 3_000;
-    /** What a silent watch misses counts as told so long after it fell silent. */
-    private static final long MISSED = 6_000;
 
     /**
      * What a drill is made of.
@@ -62,7 +61,7 @@
         final NodeList list;
         /** By whom is dialled: other poolers' stores, and db nodes. */
         final Map<String, FaultProxy> ways = new TreeMap<>();
-        volatile long adopted, startedAt;
+        volatile long adopted;
 
         Pooler(int number, int store, int pg) throws IOException {
             this.number = number;
@@ -76,7 +75,7 @@
                 ways.put(node.id, way);
                 addresses.put(node.id, "127.0.0.1:" + way.port());
             }
-            list = new NodeList(nodes.all(), addresses, ZONES);
+            list = new NodeList(nodes.all(), addresses, ZONES, new Told(name));
         }
 
         private void said(String line) {
@@ -128,6 +127,7 @@
             operators.fault(leads);
             downSince.put(name, System.currentTimeMillis());
             process.kill();
+            discoveryLog.said(name + " was killed");
             if (setting.lyingDisks()) {
                 forget();
             }
@@ -165,13 +165,38 @@
                 if (since != null) {
                     book.down(name, since, System.currentTimeMillis());
                 }
-                startedAt = System.currentTimeMillis();
+                drains.started(name, System.currentTimeMillis());
+                discoveryLog.said(name + " starts");
                 process.start();
                 Threads.start("ready " + name, this::timeStart);
             }
         }
     }
 
+    /** What discovery does with one pooler's calls, for the judge and the log. */
+    private final class Told implements NodeList.Told {
+        private final String pooler;
+
+        Told(String pooler) {
+            this.pooler = pooler;
+        }
+
+        @Override
+        public void answered(List<String> draining, long at) {
+            drains.answered(pooler, draining, at);
+        }
+
+        @Override
+        public void watched() {
+            drains.watched(pooler);
+        }
+
+        @Override
+        public void said(String line) {
+            discoveryLog.said(pooler + " " + line);
+        }
+    }
+
     /** Hears what happens while a drill runs; times in Unix milliseconds. */
     public interface Watcher {
         /** A db node ran a statement that came from a pooler. */
@@ -190,12 +215,14 @@
     private final DbNodes nodes;
     private final Book book = new Book();
     private final Timing timing;
+    private final Drains drains;
+    private final TimedLog discoveryLog = new TimedLog(folder.resolve("discovery.log"));
     private final List<Pooler> poolers = new ArrayList<>();
     private final StoreClients operators;
     private final SqlClients clients;
     private final Histogram recoveries = new ConcurrentHistogram(60_000_000, 3);
     private final Set<Integer> terms = new ConcurrentSkipListSet<>();
-    private final Map<String, Long> downSince = new TreeMap<>(), silentAt = new TreeMap<>(), drainedAt = new TreeMap<>();
+    private final Map<String, Long> downSince = new TreeMap<>();
     private final Map<Step.Kind, Integer> done = new EnumMap<>(Step.Kind.class);
     private final List<Step> course = new ArrayList<>();
     private final List<String> unclean = new ArrayList<>();
@@ -210,6 +237,7 @@
         Routing.Rules rules = NodeConfig.read(setting.config(), null).site().settings().rules();
         timing = new Timing(new Timing.Rules(rules.drainGraceMicros() / 1000, rules.coldShare(), rules.warmUpMicros() / 1000,
                 rules.overloadMultiple(), rules.overloadMicros() / 1000));
+        drains = new Drains(IntStream.range(0, scenario.poolers()).mapToObj(i -> "p" + i).toList(), timing);
         nodes = new DbNodes(scenario.groups(), new DbNodes.Seen() {
             @Override
             public void ran(DbNodes.DbNode node, String pooler, Map<String, String> fields, boolean write) {
@@ -218,8 +246,8 @@
             }
 
             @Override
-            public void came(DbNodes.DbNode node, String pooler, Map<String, String> fields) {
-                timing.came(node.id, pooler, fields.getOrDefault("id", "?"), System.currentTimeMillis());
+            public void came(DbNodes.DbNode node, String pooler, Map<String, String> fields, long at) {
+                timing.came(node.id, pooler, fields.getOrDefault("id", "?"), at);
             }
         });
         Map<String, String> places = new TreeMap<>();
@@ -249,6 +277,11 @@
         watcher = by;
     }
 
+    /** Has all daemons log each attempt; before {@link #start}. */
+    public void debug() {
+        poolers.forEach(p -> p.process.debug());
+    }
+
     /** Addresses of all members, past all proxies. */
     public Map<String, String> places() {
         Map<String, String> places = new TreeMap<>();
@@ -388,9 +421,8 @@
                 }
             }
             case LIST_SILENT -> {
-                if (on) {
-                    pooler(step.who()).list.fallSilent();
-                    silentAt.put(step.who(), System.currentTimeMillis());
+                if (on && pooler(step.who()).list.fallSilent()) {
+                    drains.fellSilent(step.who(), System.currentTimeMillis());
                 }
             }
             case RELOAD -> {
@@ -434,21 +466,14 @@
         }
     }
 
-    /** What a watch that fell silent misses counts as told 6 s later; else it counts as it is written. */
+    /** The judge knows of a drain's begin before any pooler can, and of its end before any pooler is told otherwise. */
     private void drain(DbNodes.DbNode node, boolean on) {
-        for (Pooler each : poolers) {
-            each.list.drains(node, on);
-            long now = System.currentTimeMillis();
-            if (on) {
-                Long silent = silentAt.get(each.name);
-                drainedAt.put(each.name + " " + node.id, silent != null && silent + MISSED > now ? silent + MISSED : now);
-            } else {
-                Long from = drainedAt.remove(each.name + " " + node.id);
-                // One that was starting, or has been started since, knew an old list until its own watch was answered.
-                long watched = each.list.firstAnswerSince(each.startedAt);
-                if (from != null && Math.max(from, watched) < now) {
-                    timing.drained(each.name, node.id, Math.max(from, watched), now);
-                }
+        long now = System.currentTimeMillis();
+        boolean changed = on ? drains.begun(node.id, now) : drains.ended(node.id, now);
+        if (changed) {
+            discoveryLog.said(node.id + (on ? " drains" : " drains no longer"));
+            for (Pooler each : poolers) {
+                each.list.drains(node, on);
             }
         }
     }
@@ -666,6 +691,7 @@
             }
         }
         nodes.close();
+        discoveryLog.close();
         if (!keep) {
             Scratch.delete(folder);
         }
--- a/rig/src/main/java/lupinvalve/rig/NodeList.java
+++ b/rig/src/main/java/lupinvalve/rig/NodeList.java
@@ -1,42 +1,51 @@
 package lupinvalve.rig;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 
 /** Discovery as one pooler sees it: the list over HTTP, and a watch that tells of each start of a db node. */
 final class NodeList implements Closeable {
     private static final long BEAT = 500;
+
+    /** Hears what discovery does with the pooler's calls; times in Unix milliseconds. */
+    interface Told {
+        /** Discovery now writes that these db nodes drain, on a call that its caller had not given up. */
+        void answered(List<String> draining, long at);
+
+        /** A watch is answered. */
+        void watched();
+
+        /** What came of a call. */
+        void said(String line);
+    }
+
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    private final List<Socket> watching = new CopyOnWriteArrayList<>();
+    private final List<DiscoveryCall> watching = new CopyOnWriteArrayList<>();
     private final List<DbNodes.DbNode> nodes;
     private final Map<String, String> addresses;
     private final List<String> zones;
-    private final List<Socket> silent = new CopyOnWriteArrayList<>();
+    private final Told told;
+    private final List<DiscoveryCall> silent = new CopyOnWriteArrayList<>();
     private int revision = 1;
-    private final List<Long> answers = new ArrayList<>();
-    private final Set<String> draining = new HashSet<>();
+    private int calls;
+    private final Set<String> draining = new TreeSet<>();
 
     /** @param addresses of db nodes as this pooler reaches them */
-    NodeList(List<DbNodes.DbNode> nodes, Map<String, String> addresses, List<String> zones) throws IOException {
+    NodeList(List<DbNodes.DbNode> nodes, Map<String, String> addresses, List<String> zones, Told told) throws IOException {
         this.nodes = nodes;
         this.addresses = addresses;
         this.zones = zones;
+        this.told = told;
         Threads.start("discovery", () -> {
             while (!server.isClosed()) {
                 Socket socket = server.accept();
@@ -46,7 +55,7 @@
         Threads.start("discovery", () -> {
             while (!server.isClosed()) {
                 Thread.sleep(BEAT);
-                push("\n");
+                beat();
             }
         });
     }
@@ -67,23 +76,34 @@
     }
 
     private void answer(Socket socket) throws IOException {
-        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
-        String head = in.readLine();
-        while (head != null && !in.readLine().isEmpty()) {
-            // The rest says nothing that is needed here.
-            continue;
+        DiscoveryCall call = new DiscoveryCall(socket);
+        String name = begun(call);
+        whole(call, name);
+    }
+
+    private synchronized String begun(DiscoveryCall call) {
+        String name = (call.follows ? "watch " : "call ") + ++calls;
+        told.said(name + " began");
+        return name;
+    }
+
+    /** Answers with the whole list as it is now, unless the call has been given up. */
+    private synchronized void whole(DiscoveryCall call, String name) throws IOException {
+        if (call.givenUp()) {
+            told.said(name + " had been given up");
+            call.close();
+            return;
         }
-        synchronized (this) {
-            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(US_ASCII));
-            chunk(socket, "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + entries() + "]}\n");
-            if (head != null && head.contains("follow=1")) {
-                watching.add(socket);
-                answers.add(System.currentTimeMillis());
-                return;
-            }
+        told.answered(List.copyOf(draining), System.currentTimeMillis());
+        call.begin();
+        call.chunk("{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + entries() + "]}\n");
+        told.said(name + " was answered, revision " + revision + ", draining " + draining);
+        if (call.follows) {
+            watching.add(call);
+            told.watched();
+        } else {
+            call.end();
         }
-        socket.getOutputStream().write("0\r\n\r\n".getBytes(US_ASCII));
-        socket.close();
     }
 
     /** A db node drains, or no longer. */
@@ -96,49 +116,50 @@
         started(node);
     }
 
-    /** When the first watch since then was told the whole list, in Unix milliseconds, or the far future where none was. */
-    synchronized long firstAnswerSince(long at) {
-        return answers.stream().filter(answer -> answer >= at).findFirst().orElse(Long.MAX_VALUE);
-    }
-
-    /** What is open now stays open and says nothing more. */
-    synchronized void fallSilent() {
+    /** What is open now stays open and says nothing more; whether there was any. */
+    synchronized boolean fallSilent() {
+        boolean any = !watching.isEmpty();
         silent.addAll(watching);
         watching.clear();
+        return any;
     }
 
     /** A db node has started again, or its entry has changed otherwise. */
     synchronized void started(DbNodes.DbNode node) {
         revision++;
-        push("{\"revision\":" + revision + ",\"complete\":false,\"members\":[" + entry(node) + "]}\n");
+        List<String> news = draining.contains(node.id) ? List.of(node.id) : List.of();
+        for (DiscoveryCall call : watching) {
+            if (call.givenUp()) {
+                watching.remove(call);
+                continue;
+            }
+            told.answered(news, System.currentTimeMillis());
+            push(call, "{\"revision\":" + revision + ",\"complete\":false,\"members\":[" + entry(node) + "]}\n");
+        }
+        told.said("revision " + revision + " was written to " + watching.size() + " watches, draining " + draining);
     }
 
-    private synchronized void push(String line) {
-        for (Socket socket : watching) {
-            try {
-                chunk(socket, line);
-            } catch (IOException e) {
-                watching.remove(socket);
-            }
+    private synchronized void beat() {
+        for (DiscoveryCall call : watching) {
+            push(call, "\n");
         }
     }
 
-    private static void chunk(Socket socket, String line) throws IOException {
-        byte[] bytes = line.getBytes(UTF_8);
-        OutputStream out = socket.getOutputStream();
-        out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(US_ASCII));
-        out.write(bytes);
-        out.write("\r\n".getBytes(US_ASCII));
+    private void push(DiscoveryCall call, String line) {
+        try {
+            call.chunk(line);
+        } catch (IOException e) {
+            watching.remove(call);
+        }
     }
 
     @Override
     public void close() throws IOException {
         server.close();
-        for (Socket socket : watching) {
-            socket.close();
-        }
-        for (Socket socket : silent) {
-            socket.close();
+        List<DiscoveryCall> open = new ArrayList<>(watching);
+        open.addAll(silent);
+        for (DiscoveryCall call : open) {
+            call.close();
         }
     }
 }
--- a/rig/src/main/java/lupinvalve/rig/Timing.java
+++ b/rig/src/main/java/lupinvalve/rig/Timing.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -78,6 +79,11 @@
                 && (d.node == null || d.node.equals(one.node)) && d.from <= one.at && d.to >= since);
     }
 
+    private boolean lateAfter(Span drain, Came one) {
+        return drain.pooler.equals(one.pooler) && one.at > drain.from + rules.drainMillis() + SLACK && one.at < drain.to
+                && !excused(one, drain.from);
+    }
+
     /** What was found; restarts are all that were timed. */
     public record Verdict(int lateAfterDeparture, int lateAfterDrain, int coldOverrun, int restarts, int notReady,
             List<String> findings) {
@@ -96,12 +102,11 @@
                 departed++;
                 findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone) + " ms after its client had gone");
             }
-            for (Span drain : drains.getOrDefault(one.node, List.of())) {
-                if (drain.pooler.equals(one.pooler) && one.at > drain.from + rules.drainMillis() + SLACK && one.at < drain.to
-                        && !excused(one, drain.from)) {
-                    drained++;
-                    findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - drain.from) + " ms after its drain was told");
-                }
+            Optional<Span> late = drains.getOrDefault(one.node, List.of()).stream().filter(drain -> lateAfter(drain, one)).findFirst();
+            if (late.isPresent()) {
+                drained++;
+                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - late.get().from)
+                        + " ms after its drain was told, at " + one.at);
             }
         }
         int overrun = overrun(findings);
