Move load statistics, queues and the record of an attempt out of the policy files

A part of them was bookkeeping: latency over work and over aim (Limits), the queues of what is held and their sizes (Holding), what an attempt's end leaves on its request and db node (Router), and two questions that only read a record (Choice, Health).

Every threshold, weight and order stays in the policy files; the usual latency over aim and over work, on which an empty statistic leans, are handed to LoadStatistics.

--- a/decisions/src/main/java/lupinvalve/Choice.java
+++ b/decisions/src/main/java/lupinvalve/Choice.java
@@ -42,10 +42,6 @@
         far = Math.max(FAR, 1 + FAR_PRICE * s.settings.crossingPrice());
     }
 
-    long need(Pending r) {
-        return r.kind.access() == Routing.Access.BOUNDED ? s.now - r.kind.boundMicros() : r.token;
-    }
-
     /**
      * Whether a replica may be sent a read that needs a position: at a proven one; where members guard it
      * themselves, also by the lag last seen, the less after each miss, or tries are spent within a moment.
@@ -57,7 +53,7 @@
 
     Node forRead(Pending r) {
         Group g = r.group;
-        long need = need(r);
+        long need = r.need(s.now);
         Node best = null;
         double least = Double.MAX_VALUE;
         boolean full = false, anyAge = r.kind.access() == Routing.Access.ANY;
@@ -71,7 +67,7 @@
             }
             if (!fresh(n, need, r.attempts)) {
                 // Where nothing is guarded only news helps: from answers just had, or from probes.
-                boolean silent = n.probeFails > 0 && health.noNews(n, Health.NEWS_PACE);
+                boolean silent = n.probeFails > 0 && n.noNews(s.now, Health.NEWS_PACE);
                 soonest = Math.min(soonest, guarded ? Math.max(0, need - (s.now - n.lag))
                         : silent ? Long.MAX_VALUE : 0);
                 continue;
@@ -80,7 +76,7 @@
                 full = true;
                 continue;
             }
-            double cost = (n.out.size() + 1) * limits.slow(n) * (n.zone == s.settings.zone() ? 1 : far)
+            double cost = (n.out.size() + 1) * limits.load.slow(n) * (n.zone == s.settings.zone() ? 1 : far)
                     * (n != kept ? 1 : anyAge ? 1 / KEPT_FOR_LONG : KEPT_FOR_LONG)
                     * (n == r.last ? 4 : 1) * (r.erredAt.contains(n) ? ERRED : limits.drawn(n) ? DRAWN : 1);
             if (cost < least * (limits.sparse ? LESS : 1)) {
@@ -92,7 +88,7 @@
         if (best != null) {
             // Guards a crowded group whose primary idles: groups draw unequal shares of reads and writes.
             boolean spills = guarded && primaries.ready(p, false) && !r.erredAt.contains(p)
-                    && limits.pressure(best) > Math.max(SPILL_FROM, SPILL * limits.pressure(p))
+                    && limits.load.pressure(best) > Math.max(SPILL_FROM, SPILL * limits.load.pressure(p))
                     && limits.room(p, r, READS_ON_PRIMARY);
             limits.shed = false;
             g.turn = g.members.indexOf(best) + 1;
@@ -126,7 +122,7 @@
         for (int i = 0; i < g.members.size(); i++) {
             Node n = g.members.get((g.probeTurn + i) % g.members.size());
             if (n != g.primary && primaries.ready(n, false) && s.now - n.probedAt >= READ_PROBE_PACE
-                    && health.noNews(n, READ_PROBE_PACE / 2)) {
+                    && n.noNews(s.now, READ_PROBE_PACE / 2)) {
                 health.probe(n);
                 health.probeBudget--;
                 g.probeTurn = (g.probeTurn + i + 1) % g.members.size();
@@ -154,7 +150,7 @@
     }
 
     void send(Pending r, Node n) {
-        double overdue = Math.max(OVERDUE_LEAST, OVERDUE * limits.slow(n) * limits.work[r.cls()]);
+        double overdue = Math.max(OVERDUE_LEAST, OVERDUE * limits.load.slow(n) * limits.load.work(r));
         if (guarded && !r.write()) {
             overdue += s.settings.replication().waitMicros();
         }
@@ -166,7 +162,7 @@
         }
         long left = r.expires - s.now, timeout = left;
         double patience = overdue * (idles.doubts(idle) ? 1 : PATIENCE);
-        if (r.kind.effect() != Routing.Effect.UNSAFE && left - patience > limits.work[r.cls()]) {
+        if (r.kind.effect() != Routing.Effect.UNSAFE && left - patience > limits.load.work(r)) {
             timeout = (long) patience;
         }
         // Guards against overload: members drop what still waits when nobody wants it any more, and say so;
--- a/decisions/src/main/java/lupinvalve/Health.java
+++ b/decisions/src/main/java/lupinvalve/Health.java
@@ -83,7 +83,7 @@
                 probe(n);
             }
         } else if (probeBudget >= 10 && s.now - n.probedAt > NEWS_PACE && s.now - n.group.askedAt < NEWS_PACE
-                && noNews(n, NEWS_PACE)) {
+                && n.noNews(s.now, NEWS_PACE)) {
             probeBudget--;
             probe(n);
         }
@@ -167,7 +167,7 @@
                 } else {
                     // One that stayed out while others were answered may be lost: it tells little of load.
                     double told = (double) o.elapsedMicros() / r.kind.aimMicros();
-                    limits.press(n, Math.min(told, 2 * limits.pressure(n)));
+                    limits.load.press(n, Math.min(told, 2 * limits.load.pressure(n)));
                     limits.bound(n);
                 }
             }
@@ -186,8 +186,4 @@
             default -> { }
         }
     }
-
-    boolean noNews(Node n, long pace) {
-        return n.heardAt == Long.MIN_VALUE || s.now - n.heardAt >= pace;
-    }
 }
--- a/decisions/src/main/java/lupinvalve/Holding.java
+++ b/decisions/src/main/java/lupinvalve/Holding.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
@@ -23,7 +22,7 @@
     private final Limits limits;
     private final Choice choice;
     private final List<Integer> order = new ArrayList<>();
-    int waitingCount;
+    final QueuedRequests queued = new QueuedRequests();
 
     Holding(Scene scene, Limits limits, Choice choice) {
         s = scene;
@@ -39,14 +38,9 @@
     }
 
     void hold(Pending r) {
-        ArrayDeque<Pending> queue = r.group.waiting.get(r.cls());
-        held(r.group, 1);
-        if (r.repeat) {
-            queue.addFirst(r);
-        } else {
-            queue.addLast(r);
-        }
-        if (waitingCount > s.settings.limits().openMost() * HELD_PART) {
+        // What is last in a queue is served first.
+        queued.add(r, !r.repeat);
+        if (queued.size() > s.settings.limits().openMost() * HELD_PART) {
             crowdOut();
         }
     }
@@ -56,7 +50,7 @@
      * open. Of the group that holds most, the read that would be served last goes if it is worth little late.
      */
     void crowdOut() {
-        Group g = Collections.max(s.groups.values(), Comparator.comparing(x -> x.held));
+        Group g = queued.longest(s.groups.values());
         for (int i = order.size() - 1; i >= 0; i--) {
             Pending last = g.waiting.get(order.get(i)).peekFirst();
             if (last != null && !last.write() && last.kind.lateShare() < 0.5) {
@@ -66,17 +60,10 @@
         }
     }
 
-    void held(Group g, int change) {
-        g.held += change;
-        waitingCount += change;
-    }
-
     void finish(Pending r) {
         r.over = true;
         if (r.out == null) {
-            if (r.group.waiting.get(r.cls()).remove(r)) {
-                held(r.group, -1);
-            }
+            queued.remove(r);
             s.requests.remove(r.id());
         }
     }
@@ -101,9 +88,9 @@
         // Guards against clients kept waiting for nothing: the newest go first, so what has waited for long
         // is hardly served any more, and one told early can come back in time.
         double most = r.arrived + (r.write() ? HELD_WRITE : HELD_READ) * r.kind.aimMicros();
-        double last = r.reached ? r.expires - Math.max(MARGIN, limits.work[r.cls()])
+        double last = r.reached ? r.expires - Math.max(MARGIN, limits.load.work(r))
                 : r.arrived + UNTRIED * (r.expires - r.arrived);
-        double takes = Math.min(limits.takes(r), HELD_LEAST * r.kind.aimMicros());
+        double takes = Math.min(limits.load.takes(r), HELD_LEAST * r.kind.aimMicros());
         return (long) Math.min(Math.min(most, last), r.worthlessAt() - takes);
     }
 
@@ -129,8 +116,7 @@
             while (it.hasNext() && tries > 0) {
                 Pending r = it.next();
                 if (choice.place(r)) {
-                    it.remove();
-                    held(g, -1);
+                    queued.remove(it, g);
                 } else {
                     tries--;
                 }
@@ -147,10 +133,4 @@
             }
         }
     }
-
-    /** Whether anything that only a primary can answer is held. */
-    boolean wanted(Group g) {
-        return g.waiting.stream().anyMatch(q -> !q.isEmpty() && (q.peek().write()
-                || q.peek().kind.access() == Routing.Access.STRONG));
-    }
 }
--- a/decisions/src/main/java/lupinvalve/Limits.java
+++ b/decisions/src/main/java/lupinvalve/Limits.java
@@ -17,29 +17,27 @@
     /** Latency over work of a member not yet known; a class is long with so many times the shortest aim. */
     private static final double ORDINARY = 2, LONG = 4;
     private final Scene s;
-    private final Gauge replicaLoad = gauge(), primaryLoad = gauge();
+    /** What answers told of load. */
+    final LoadStatistics load;
     private final double leastLimit;
     final double startLimit;
-    final double[] work;
     final boolean[] longWork;
     /** Whether there are long reads; whether all that each router may send is too little to tell load by. */
     boolean anyLong, sparse;
     /** Whether the last look for room was refused by lot. */
     boolean shed;
-    private double warmServed;
 
     Limits(Scene scene) {
         s = scene;
         startLimit = Math.max(1, LIMIT_START / s.settings.routers());
         leastLimit = Math.max(1, LIMIT_LEAST / s.settings.routers());
         sparse = leastLimit < LIMIT_TELLS;
+        load = new LoadStatistics(s, PRESSURE / 2, ORDINARY);
         int count = s.settings.classes().size();
-        work = new double[count];
         longWork = new boolean[count];
         long shortest = s.settings.classes().stream().mapToLong(c -> c.aimMicros()).min().orElse(0);
         for (int i = 0; i < count; i++) {
             Routing.RequestClass c = s.settings.classes().get(i);
-            work[i] = c.aimMicros() / 8.0;
             longWork[i] = c.access() == Routing.Access.ANY && c.aimMicros() >= LONG * shortest;
             anyLong |= longWork[i];
         }
@@ -52,12 +50,7 @@
     /** A full member: it turned a request back. */
     void turnedBack(Node n) {
         n.limit = Math.max(leastLimit, n.limit * 0.8);
-        press(n, PRESSURE_FULL);
-    }
-
-    /** How long an answer for a held request will take at its group, as far as it is known. */
-    double takes(Pending r) {
-        return r.group.load.mean(s.now, replicaLoad.mean(s.now, PRESSURE / 2)) * r.kind.aimMicros();
+        load.press(n, PRESSURE_FULL);
     }
 
     boolean cold(Node n) {
@@ -86,7 +79,7 @@
         long age = s.now - n.coldSince - (sparse ? rules.overloadMicros() : 0);
         double gets = Allowance.warmth(rules, age) * rules.overloadMultiple() * COLD_PART;
         double share = Math.min(1, gets) / Math.max(1, n.group.members.size() - 1);
-        n.allowance.earn(warmServed, gets / warm, sparse ? COLD_BURST * share : COLD_BURST);
+        n.allowance.earn(load.warmServed(), gets / warm, sparse ? COLD_BURST * share : COLD_BURST);
         return sparse ? n.allowance.draw(r.write() ? 1 : share) : n.allowance.whole();
     }
 
@@ -101,7 +94,7 @@
         // Guards against many routers that each send little: what their attempts met decides by lot which
         // requests are refused at once, the more the further latencies exceed the aim's part, repeats first.
         double target = PRESSURE_SHED * (r.write() ? WRITE_EASE : share);
-        double open = Math.min(1, target / pressure(n));
+        double open = Math.min(1, target / load.pressure(n));
         if (!sparse || r.lot < Math.pow(open, LOT_STEEP)) {
             return true;
         }
@@ -121,43 +114,14 @@
         return n.out.size() - lost;
     }
 
-    /** Latency over aim at a member; it leans on that at its group's replicas, that on all of its kind. */
-    double pressure(Node n) {
-        boolean primary = n == n.group.primary;
-        double all = (primary ? primaryLoad : replicaLoad).mean(s.now, PRESSURE / 2);
-        return n.load.mean(s.now, primary ? all : n.group.load.mean(s.now, all));
-    }
-
-    /** Latency over work, leaning likewise. */
-    double slow(Node n) {
-        return n.slow.mean(s.now, n.group.slow.mean(s.now, ORDINARY));
-    }
-
-    void press(Node n, double x) {
-        n.load.add(s.now, x);
-        if (n == n.group.primary) {
-            primaryLoad.add(s.now, x);
-        } else {
-            n.group.load.add(s.now, x);
-            replicaLoad.add(s.now, x);
-        }
-    }
-
     void adapt(Node n, Pending r, long elapsed) {
-        double w = work[r.cls()];
-        work[r.cls()] += (elapsed < w ? 0.1 : 0.02) * (elapsed - w);
-        n.slow.add(s.now, elapsed / work[r.cls()]);
-        n.group.slow.add(s.now, elapsed / work[r.cls()]);
-        press(n, (double) elapsed / r.kind.aimMicros());
+        load.served(n, r, elapsed, !cold(n) && !longWork[r.cls()]);
         bound(n);
-        if (!cold(n) && !longWork[r.cls()]) {
-            warmServed++;
-        }
     }
 
     /** Latency grows with what is out: the bound follows their ratio within one turn of its attempts. */
     void bound(Node n) {
-        double p = pressure(n);
+        double p = load.pressure(n);
         if (p > PRESSURE) {
             n.limit = Math.max(leastLimit, n.limit * Math.pow(PRESSURE / p, 1 / Math.max(NEWEST, n.limit)));
         } else if (n.out.size() + 1 > n.limit * 0.6) {
@@ -168,7 +132,7 @@
     void chill(Node n, long since) {
         n.coldSince = Math.max(n.coldSince, since);
         double part = s.random.nextDouble();
-        n.allowance.restart(warmServed, sparse ? 0 : part, part);
+        n.allowance.restart(load.warmServed(), sparse ? 0 : part, part);
         n.limit = Math.min(n.limit, startLimit);
     }
 }
--- a/decisions/src/main/java/lupinvalve/Router.java
+++ b/decisions/src/main/java/lupinvalve/Router.java
@@ -63,7 +63,7 @@
         } else if (event instanceof Routing.ClientGone gone) {
             onGone(gone.id());
         }
-        if (holding.waitingCount > 0 && tickAt > s.now + TICK) {
+        if (holding.queued.size() > 0 && tickAt > s.now + TICK) {
             setTick(TICK);
         }
     }
@@ -79,7 +79,7 @@
         Pending r = s.requests.get(id);
         Node n = r == null || r.out == null ? null : r.out.node();
         return n != null && primaries.mayRun(r, n)
-                && (r.write() || n == r.group.primary || choice.fresh(n, choice.need(r), r.attempts - 1));
+                && (r.write() || n == r.group.primary || choice.fresh(n, r.need(s.now), r.attempts - 1));
     }
 
     public boolean isPrimary(String node) {
@@ -146,10 +146,7 @@
         }
         Attempt a = r.out;
         Node n = a.node();
-        r.out = null;
-        r.last = n;
-        n.out.remove(a);
-        n.usedAt = s.now;
+        a.ended(s.now, o.ending());
         health.judge(n, r, a, o);
         primaries.learn(n, o.position(), o.role(), true);
         if (o.ending() == Routing.Ending.SERVED && r.write() && r.asked.session() != null
@@ -157,11 +154,6 @@
             // The design's token: a session's later reads must see this write.
             tokens.raise(r.asked.session(), o.position() == Routing.NO_POSITION ? s.now : o.position());
         }
-        r.reached |= o.ending() != Routing.Ending.NOT_CONNECTED && o.ending() != Routing.Ending.NOT_SENT;
-        if (!o.ending().neverRan && a.sentAt() < r.mayHaveRunSince) {
-            r.mayHaveRunSince = a.sentAt();
-            r.mayHaveRunAt = n;
-        }
         if (o.closed() || r.over) {
             r.over = true;
             s.requests.remove(r.id());
@@ -186,7 +178,7 @@
             // The last look at the primary comes before the end, though both may be due at one tick.
             holding.dispatch(g);
             holding.expire(g);
-            if (!g.members.isEmpty() && holding.wanted(g) && !primaries.ready(g.primary, true)
+            if (!g.members.isEmpty() && holding.queued.anyForPrimary(g) && !primaries.ready(g.primary, true)
                     && s.now >= g.changeProbeAt) {
                 // One member at a time, the faster the more is held, as every router does the same.
                 long pace = CHANGE_PROBE_PACE / Math.min(g.held, g.members.size());
@@ -205,7 +197,7 @@
             }
         }
         roster.tick();
-        setTick(holding.waitingCount > 0 ? TICK : IDLE_TICK);
+        setTick(holding.queued.size() > 0 ? TICK : IDLE_TICK);
     }
 
     /** Whether a member in the list is not used by choice. */
--- a/decisions/src/main/java/lupinvalve/State.java
+++ b/decisions/src/main/java/lupinvalve/State.java
@@ -103,6 +103,11 @@
             this.slow = slow;
             this.load = load;
         }
+
+        /** Whether its lag was not heard of for so long. */
+        boolean noNews(long now, long micros) {
+            return heardAt == Long.MIN_VALUE || now - heardAt >= micros;
+        }
     }
 
     static final class Group {
@@ -166,12 +171,30 @@
             return kind.lateShare() < 0.5 && !repeat ? arrived + kind.aimMicros() : Long.MAX_VALUE;
         }
 
+        /** The position that a member must have reached to answer it. */
+        long need(long now) {
+            return kind.access() == Routing.Access.BOUNDED ? now - kind.boundMicros() : token;
+        }
+
         boolean write() {
             return kind.access() == Routing.Access.WRITE;
         }
     }
 
-    record Attempt(Pending of, int number, Node node, long sentAt, long overdueAt, long idle) {}
+    record Attempt(Pending of, int number, Node node, long sentAt, long overdueAt, long idle) {
+        /** Takes it off its request and its db node, and notes whether it reached a db node and may have run there. */
+        void ended(long now, Routing.Ending ending) {
+            of.out = null;
+            of.last = node;
+            node.out.remove(this);
+            node.usedAt = now;
+            of.reached |= ending != Routing.Ending.NOT_CONNECTED && ending != Routing.Ending.NOT_SENT;
+            if (!ending.neverRan && sentAt < of.mayHaveRunSince) {
+                of.mayHaveRunSince = sentAt;
+                of.mayHaveRunAt = node;
+            }
+        }
+    }
 
     /** Sessions' tokens, bounded in number: those dropped for space still bind through a floor. */
     static final class Tokens {
