--- a/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
@@ -1,5 +1,6 @@
 package lupinvalve.mysql;
 
+import java.util.ArrayList;
 import java.util.List;
 import lupinvalve.core.Statement;
 
@@ -17,5 +18,27 @@
     record LongData(int param, byte[] bytes) {}
 
     /** An answer: packets before the closing OK, as bytes that came, and that OK. */
-    record Answer(List<byte[]> packets, int columns, Protocol.Ok ok) {}
+    record Answer(List<byte[]> packets, int columns, Protocol.Ok ok) {
+        /**
+         * The whole answer as a client with the given capabilities reads it, numbered from 1.
+         *
+         * @param newer whether the client reads no EOF packets
+         */
+        byte[][] packets(boolean newer, long capabilities) {
+            List<byte[]> out = new ArrayList<>();
+            for (byte[] packet : packets) {
+                out.add(Out.packet(packet, 4, out.size() + 1));
+                if (out.size() == columns + 1 && !newer) {
+                    out.add(Protocol.eof(ok.status(), out.size() + 1));
+                }
+            }
+            int sequence = out.size() + 1;
+            if (out.isEmpty()) {
+                out.add(ok.packet(0, capabilities, sequence));
+            } else {
+                out.add(newer ? ok.packet(0xFE, capabilities, sequence) : Protocol.eof(ok.status(), sequence));
+            }
+            return out.toArray(new byte[0][]);
+        }
+    }
 }
--- a/mysql/src/main/java/lupinvalve/mysql/Params.java
+++ b/mysql/src/main/java/lupinvalve/mysql/Params.java
@@ -9,6 +9,7 @@
 /** Values bound to a statement, and query attributes, which travel in the same form. Values stay as their bytes. */
 final class Params {
     static final int STRING = 0xFE;
+    private static final int COUNT_MOST = 65535;
 
     /** One value; {@code value} is its bytes as they came, or null for NULL or a value sent ahead. */
     record Param(int type, String name, byte[] value, boolean ahead) {
@@ -42,6 +43,14 @@
 
     private Params() {}
 
+    /** A count of values as it was told, if it may be. */
+    static int count(long told) throws Framer.Malformed {
+        if (told > COUNT_MOST) {
+            throw new Framer.Malformed("too many parameters");
+        }
+        return (int) told;
+    }
+
     static Param text(String name, String value) {
         return new Param(STRING, name, new Out().counted(value.getBytes(UTF_8)).payload(), false);
     }
