--- /dev/null
+++ b/group/src/main/java/lupinvalve/replication/RecordBatch.java
@@ -0,0 +1,40 @@
+package lupinvalve.replication;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.Consumer;
+import lupinvalve.ledger.Cbor;
+
+/** Records that gather until they are written together: their count, then one after another. */
+final class RecordBatch {
+    /** A buffer that has grown beyond this is not kept. */
+    private static final int BUFFER_MOST = 1 << 20;
+    private ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private int records;
+
+    /** Adds what is written. */
+    void add(Consumer<Cbor.Out> record) {
+        Cbor.Out out = new Cbor.Out();
+        record.accept(out);
+        pending.writeBytes(out.done());
+        records++;
+    }
+
+    boolean isEmpty() {
+        return records == 0;
+    }
+
+    /** All records as one frame of a file. */
+    byte[] frame() throws IOException {
+        ByteArrayOutputStream content = new ByteArrayOutputStream(pending.size() + Long.BYTES);
+        content.writeBytes(new Cbor.Out().number(records).done());
+        pending.writeTo(content);
+        return Frames.frame(content.toByteArray());
+    }
+
+    void clear() {
+        pending = pending.size() > BUFFER_MOST ? new ByteArrayOutputStream() : pending;
+        pending.reset();
+        records = 0;
+    }
+}
