Count a drain from when it may have been told, and drop no call that may be answered

Discovery's drain binds from when it is written, the pooler counted from when it was taken. Found by reading, each forced in a test, with its mend taken back: - Roster.setHealth (toldLeaving = s.now) and Pooler.tell (leaving.putIfAbsent(node, loop.now())) gave a draining primary 3/4 of the 250 ms after any news, also a whole list, the first word of a watch, or what lay in the system's buffers or the core's queue. RosterTest: "expected: <null> but was: <a>"; LateConnectionTest: "expected: <[53300]> but was: <[T, D, C]>". - After a stall requests were decided before discovery's bytes were read. whatCameWhileTheProcessStoodStill...: "expected: <false> but was: <true>". - What was decided and handed to MINA went out however late its thread wrote it. FirstByteTest: "expected: <[53300]> but was: <[T, D, C]>". - HttpDirectory gave a call up after 1.2 s, and dropped the watch before with the first word of the next: what discovery had written there counted as told and was not read, and the call's place was lost. "not in 10 s: listed", "not in 10 s: known from the second". - Roster asks again 5 s after a call that brought no news, which replaced a watch that had only beaten. askingAgain...: "not in 10 s: listed". - Beats before any list counted as a word on a process that knows nothing; an answer asked for before discovery numbered anew hid all that followed ("not in 10 s: what the new one tells").

News carry the earliest time at which they may have been told; only a change on a watch that beats, with none beside it, is as new as its bytes. ReadProgress, the listening processor, looks every 50 ms and knows up to when all that came has been read; before each piece of work the core waits for it, 0.5 s at most, where that is over 125 ms ago. Requests begin to go out within 250 ms of the last news known, or their connection ends as NOT_SENT. WatchSchedule has the deadlines, without I/O: a call that waits, or a silent watch, gets another beside it, four at most; what is replaced is read for 3 s more. Pauses after failed calls grow to 0.75 s instead of 1 s; silence is doubted after 2.25 s instead of 2.6 s.

WatchScheduleTest, all orders in virtual time: 5000 ms at worst after two failed calls, 4500 ms after three at a start; with the former figures and drops 5799, 5200 and 5400 ms ("silent watch: 5799 ms after [NEVER_UP, NEVER_UP]"). A thread that stands still for good: without the memory of the wait in vain "each piece of work waits".

aCallThatIsAnsweredAfterItWasGivenUpChangesNothing waits for the end of the first call, which comes later now; its assertions stay. HeldCore tells when its news are known, so that requests of its tests are held to the first byte's time.

Five of the new tests hold without a mend as well: RosterTest's fresh change, restored list and stranger, LateConnectionTest's new drain, and (run with the 3 s of reading taken back only) anAnswerThatComesWhileTheCoreIsBehindItsDeadlineIsTaken. With the oldest call dropped instead of the one that ends first: "the watch that beats was let go"; with no bound: "open at once: 5".

--- a/core/src/main/java/lupinvalve/core/Loop.java
+++ b/core/src/main/java/lupinvalve/core/Loop.java
@@ -16,6 +16,7 @@
     private final Clock clock = new Clock();
     private final Deadlines deadlines = new Deadlines();
     private final Thread thread;
+    private volatile Runnable first = () -> { };
     private volatile boolean stopped;
     private long longestWait, waits, waitsSince;
 
@@ -50,6 +51,11 @@
         posted.add(() -> { });
     }
 
+    /** Runs {@code look} before each piece of work, and what that makes urgent is done first. */
+    public void beforeEach(Runnable look) {
+        first = look;
+    }
+
     public long now() {
         return clock.micros();
     }
@@ -100,6 +106,7 @@
     }
 
     private void pressing() {
+        run(first);
         for (Runnable work = urgent.poll(); work != null; work = urgent.poll()) {
             run(work);
         }
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -414,7 +414,7 @@
                 listing.put(entry.member().node(), entry);
             }
         }
-        tell(news.form(), news.entries());
+        tell(news);
         unlisted.forEach(this::closeIdle);
         if (news.form() == Routing.ListForm.FULL || news.form() == Routing.ListForm.UPDATE) {
             informed.run();
@@ -423,10 +423,13 @@
     }
 
     /** Tells the router of entries as maintenance has them, and drops what leads to those that are gone. */
-    private void tell(Routing.ListForm form, Iterable<Directory.Entry> entries) {
+    private void tell(Directory.News news) {
+        long now = loop.now();
+        // What may have been told long ago has no time left; the same holds in the router's table.
+        long told = Math.min(now, Math.max(now - settings.rules().drainGraceMicros(), news.toldSince()));
         List<Routing.Member> members = new ArrayList<>();
         List<String> replaced = new ArrayList<>();
-        for (Directory.Entry entry : entries) {
+        for (Directory.Entry entry : news.entries()) {
             Routing.Member m = maintenance.told(entry.member());
             members.add(m);
             Instance known = instances.get(m.node());
@@ -438,13 +441,13 @@
                 replaced.add(m.node());
             }
             if (m.health() == Routing.Health.DRAINING) {
-                leaving.putIfAbsent(m.node(), loop.now());
+                leaving.putIfAbsent(m.node(), told);
             } else {
                 leaving.remove(m.node());
             }
         }
         leaving.keySet().retainAll(instances.keySet());
-        feed(new Routing.Members(form, members));
+        feed(now, new Routing.Members(news.form(), members, told));
         replaced.forEach(this::closeIdle);
     }
 
@@ -473,7 +476,7 @@
             }
         }
         if (router != null && !changed.isEmpty()) {
-            tell(Routing.ListForm.UPDATE, changed);
+            tell(new Directory.News(Routing.ListForm.UPDATE, changed));
         }
     }
 
@@ -497,6 +500,15 @@
         return closed || a != null && (a.of.front.left(a.of.ticket) || !router.stands(a.of.id, loop.now()));
     }
 
+    /**
+     * Until when the first byte of what is decided now may go out to a db node: a departure that has been told meanwhile
+     * binds by then, or one that is known.
+     */
+    public long beginBy(String node) {
+        long known = Math.min(directory.knownUpTo(), leaving.getOrDefault(node, Long.MAX_VALUE));
+        return known == Long.MAX_VALUE ? known : known + settings.rules().drainGraceMicros();
+    }
+
     /** Whether a connection that was opened to a process of the db node leads to the one that the list names now. */
     public boolean leads(String node, Instance opened, long openedAt) {
         return opened != null && opened.leadsTo(instances.get(node), openedAt);
@@ -524,6 +536,11 @@
         return instances.containsKey(node);
     }
 
+    /** Whether the list names any db node. */
+    public boolean knowsNodes() {
+        return !listing.isEmpty();
+    }
+
     public int open() {
         return requests.size();
     }
--- a/daemon/src/test/java/lupinvalve/discovery/HttpDirectoryTest.java
+++ b/daemon/src/test/java/lupinvalve/discovery/HttpDirectoryTest.java
@@ -10,17 +10,22 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import lupinvalve.Routing;
 import lupinvalve.config.NodeConfig;
+import lupinvalve.core.Directory;
 import lupinvalve.core.Loop;
 import lupinvalve.core.Pooler;
+import lupinvalve.net.HeldSockets;
 import lupinvalve.net.Net;
 import lupinvalve.stories.World;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +39,7 @@
     private static final long SECOND = 1_000_000_000L;
     private final ServerSocket server;
     private final BlockingQueue<Socket> calls = new LinkedBlockingQueue<>();
+    private final List<Directory.News> told = new CopyOnWriteArrayList<>();
     private final Loop loop = new Loop();
     private final Net net = new Net(loop, true);
     private final Pooler pooler;
@@ -41,7 +47,13 @@
 
     HttpDirectoryTest() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        pooler = new Pooler(loop, NodeConfig.read(Path.of("example/config.json"), null).site().settings());
+        pooler = new Pooler(loop, NodeConfig.read(Path.of("example/config.json"), null).site().settings()) {
+            @Override
+            public void listed(Directory.News news) {
+                told.add(news);
+                super.listed(news);
+            }
+        };
         directory = new HttpDirectory(net, pooler, new InetSocketAddress("127.0.0.1", server.getLocalPort()),
                 new ListReader(List.of(), null), 5);
         pooler.directory(directory);
@@ -271,6 +283,9 @@
     void aCallThatIsAnsweredAfterItWasGivenUpChangesNothing() throws Exception {
         Socket first = call();
         Socket second = call();
+        // It is kept beside the second for a while.
+        first.setSoTimeout(10_000);
+        assertEquals(-1, first.getInputStream().read());
         try {
             say(first, HEAD + chunk(list(9, true, "x") + "\n"));
         } catch (IOException e) {
@@ -282,6 +297,227 @@
         assertEquals(Routing.Health.LIVE, onCore(() -> pooler.known().get(0).entry().member().health()));
     }
 
+    @Test
+    void aCallThatWaitsKeepsItsPlaceBesideTheNext() throws Exception {
+        Socket first = call();
+        Socket second = call();
+        say(first, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        // The second is needed no more.
+        second.setSoTimeout(10_000);
+        assertEquals(-1, second.getInputStream().read());
+        say(first, chunk(list(7, false, "b") + "\n"));
+        World.await("the first goes on", () -> lists("b"));
+    }
+
+    @Test
+    void whatIsWrittenToTwoCallsAtOnceIsReadFromBoth() throws Exception {
+        Socket first = call();
+        Socket second = call();
+        // A whole round of callers lies between an answer and what the same connection is told next.
+        say(first, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        say(second, HEAD + chunk(list(7, true, "b") + "\n"));
+        World.await("known from the second", () -> lists("b") && !lists("a"));
+        say(first, chunk(list(8, false, "c") + "\n"));
+        World.await("known from the first", () -> lists("c"));
+    }
+
+    @Test
+    void aWatchIsReadOnForAWhileOnceItsSuccessorHasSpoken() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        Socket next = call();
+        say(next, HEAD + chunk("\n"));
+        onCore(() -> null);
+        say(watch, chunk(list(7, false, "-a") + "\n"));
+        World.await("what it was told is known", () -> !lists("a"));
+        watch.setSoTimeout(10_000);
+        assertEquals(-1, watch.getInputStream().read());
+        say(next, chunk(list(8, false, "b") + "\n"));
+        World.await("the next goes on", () -> lists("b"));
+    }
+
+    @Test
+    void anAnswerThatComesWhileTheCoreIsBehindItsDeadlineIsTaken() throws Exception {
+        Socket first = call();
+        CountDownLatch held = new CountDownLatch(1), go = new CountDownLatch(1);
+        loop.post(() -> {
+            held.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        long from = System.nanoTime();
+        World.await("overdue", () -> System.nanoTime() - from > SECOND * 13 / 10);
+        say(first, HEAD + chunk(list(6, true, "a") + "\n"));
+        go.countDown();
+        World.await("listed", () -> lists("a"));
+        assertTrue(System.nanoTime() - from < SECOND * 23 / 10, "another call was needed");
+        say(first, chunk(list(7, false, "b") + "\n"));
+        World.await("it goes on", () -> lists("b"));
+    }
+
+    @Test
+    void whatWasNumberedBeforeAChangeOfNumbersIsNotTakenBehindIt() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(60, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        onCore(() -> {
+            directory.fetch();
+            return null;
+        });
+        Socket asked = call();
+        reset(watch);
+        Socket next = call();
+        say(next, HEAD + chunk(list(2, true, "b") + "\n"));
+        World.await("listed anew", () -> lists("b"));
+        String late = list(61, true, "a", "b");
+        say(asked, "HTTP/1.1 200 OK\r\nContent-Length: " + late.length() + "\r\n\r\n" + late);
+        assertEquals(-1, asked.getInputStream().read());
+        say(next, chunk(list(3, false, "-b") + "\n"));
+        World.await("what the new one tells", () -> !lists("b"));
+        assertEquals(false, lists("a"));
+    }
+
+    @Test
+    void beatsWithNoListAreNoWordWhereNothingIsKnown() throws Exception {
+        // The first call comes from a start that remembers a list; this one from a start that knows nothing.
+        call();
+        ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        BlockingQueue<Socket> came = new LinkedBlockingQueue<>();
+        World.thread(() -> {
+            while (true) {
+                came.add(other.accept());
+            }
+        });
+        Pooler empty = new Pooler(loop, pooler.settings());
+        HttpDirectory asks = new HttpDirectory(net, empty, new InetSocketAddress("127.0.0.1", other.getLocalPort()),
+                new ListReader(List.of(), null), 0);
+        empty.directory(asks);
+        loop.post(() -> empty.start(2, List.of()));
+        Socket first = came.poll(10, TimeUnit.SECONDS);
+        say(first, HEAD + chunk("\n"));
+        long beats = System.nanoTime();
+        Socket second = came.poll(10, TimeUnit.SECONDS);
+        assertTrue(second != null && System.nanoTime() - beats < 2 * SECOND, "took the beat for a word");
+        say(second, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> {
+            try {
+                return onCore(() -> empty.lists("a"));
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        other.close();
+    }
+
+    @Test
+    void askingAgainDoesNotReplaceAWatchThatIsUp() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk("\n"));
+        onCore(() -> {
+            directory.subscribe(true);
+            return null;
+        });
+        // It knows of no change, so it has only beaten; what it tells next is still heard.
+        say(watch, chunk(list(6, false, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        assertTrue(calls.isEmpty(), "another was opened");
+    }
+
+    /** One watch beats until the other has been closed. */
+    private static void beatUntilClosed(Socket beats, Socket closes) throws Exception {
+        closes.setSoTimeout(300);
+        for (int i = 0; i < 30; i++) {
+            try {
+                assertEquals(-1, closes.getInputStream().read());
+                return;
+            } catch (SocketTimeoutException e) {
+                say(beats, chunk("\n"));
+            }
+        }
+        throw new AssertionError("not closed");
+    }
+
+    /** The last news, once so much has been told. */
+    private Directory.News news(int count) throws Exception {
+        World.await("told", () -> told.size() >= count);
+        assertEquals(count, told.size(), told.toString());
+        return told.get(count - 1);
+    }
+
+    @Test
+    void onlyAChangeOnAWatchThatBeatsIsAsNewAsItsBytes() throws Exception {
+        Socket watch = call();
+        int before = told.size();
+        say(watch, HEAD + chunk(list(6, false, "a") + "\n"));
+        assertEquals(Long.MIN_VALUE, news(before + 1).toldSince(), "the first word tells what changed since long ago");
+        long from = loop.now();
+        say(watch, chunk(list(7, false, "b") + "\n"));
+        long since = news(before + 2).toldSince();
+        assertTrue(since >= from - 1_000_000 && since <= loop.now(), "since " + (since - from));
+        // In two parts: it was written when the first part came.
+        String half = chunk(list(8, false, "c") + "\n");
+        say(watch, half.substring(0, 20));
+        long parted = loop.now();
+        World.await("some time later", () -> loop.now() > parted + 300_000);
+        say(watch, half.substring(20));
+        assertTrue(news(before + 3).toldSince() <= parted);
+        say(watch, chunk(list(9, true, "c") + "\n"));
+        assertEquals(Long.MIN_VALUE, news(before + 4).toldSince(), "a whole list");
+        // It misses a beat, and its successor is opened.
+        Socket next = call();
+        say(watch, chunk(list(10, false, "d") + "\n"));
+        assertEquals(Long.MIN_VALUE, news(before + 5).toldSince(), "it may have been told long ago");
+        say(next, HEAD + chunk(list(10, false, "d") + "\n"));
+        assertEquals(Long.MIN_VALUE, news(before + 6).toldSince());
+        say(next, chunk(list(11, false, "e") + "\n"));
+        assertEquals(Long.MIN_VALUE, news(before + 7).toldSince(), "the first may have been told it before");
+        beatUntilClosed(next, watch);
+        long alone = loop.now();
+        say(next, chunk(list(12, false, "f") + "\n"));
+        assertTrue(news(before + 8).toldSince() > alone - 1_000_000);
+    }
+
+    @Test
+    void whatCameWhileTheProcessStoodStillIsKnownBeforeAnythingIsDecided() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        try (HeldSockets sockets = new HeldSockets(net)) {
+            sockets.hold();
+            long stands = System.nanoTime();
+            say(watch, chunk(list(7, false, "-a") + "\n"));
+            World.await("stood still", () -> System.nanoTime() - stands > SECOND / 5);
+            CompletableFuture<Boolean> lists = new CompletableFuture<>();
+            loop.post(() -> lists.complete(pooler.lists("a")));
+            World.await("decides, or waits for the news", () -> lists.isDone() || HeldSockets.isAwaited());
+            sockets.letGo();
+            assertEquals(false, lists.get(10, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void aThreadThatStandsStillForGoodHoldsUpTheCoreOnce() throws Exception {
+        Socket watch = call();
+        say(watch, HEAD + chunk(list(6, true, "a") + "\n"));
+        World.await("listed", () -> lists("a"));
+        try (HeldSockets sockets = new HeldSockets(net)) {
+            sockets.hold();
+            long stands = System.nanoTime();
+            World.await("stood still", () -> System.nanoTime() - stands > SECOND / 5);
+            for (int i = 0; i < 20; i++) {
+                assertTrue(lists("a"));
+            }
+            assertTrue(System.nanoTime() - stands < 3 * SECOND, "each piece of work waits");
+        }
+    }
+
     @Test
     void nothingIsLeftOpenOfCallsThatFailed() throws Exception {
         for (int i = 0; i < 4; i++) {
--- a/daemon/src/test/java/lupinvalve/net/HeldCore.java
+++ b/daemon/src/test/java/lupinvalve/net/HeldCore.java
@@ -54,6 +54,11 @@
             public void fetch() {
                 // Likewise.
             }
+
+            @Override
+            public long knownUpTo() {
+                return loop.now();
+            }
         });
         pool = new PgBackend(net, pooler, new Pool.Bounds(50, 5_000_000, 15_000_000, 250_000), "api", "ledger");
         pooler.backend(PgFront.PROTOCOL, pool);
@@ -72,6 +77,11 @@
                 Map.of(PgFront.PROTOCOL, "127.0.0.1:" + node.port()));
     }
 
+    static Directory.Entry draining(DbNode node, String id) {
+        Directory.Entry live = entry(node, id, 0);
+        return new Directory.Entry(new Routing.Member(id, 1, 0, Routing.Health.DRAINING, node.primary, 0), live.addresses());
+    }
+
     static Directory.Entry gone(String id) {
         return new Directory.Entry(new Routing.Member(id, 1, 0, Routing.Health.GONE, false, 0), Map.of());
     }
@@ -83,6 +93,14 @@
         });
     }
 
+    /** The whole list, which may say what was told before. */
+    void listedWhole(Directory.Entry... entries) throws Exception {
+        onCore(() -> {
+            pooler.listed(new Directory.News(Routing.ListForm.FULL, List.of(entries)));
+            return null;
+        });
+    }
+
     /** Requests that are open. */
     int requests() throws Exception {
         return onCore(pooler::open);
--- a/daemon/src/test/java/lupinvalve/net/LateConnectionTest.java
+++ b/daemon/src/test/java/lupinvalve/net/LateConnectionTest.java
@@ -3,6 +3,7 @@
 import static lupinvalve.net.HeldCore.answer;
 import static lupinvalve.net.HeldCore.ask;
 import static lupinvalve.net.HeldCore.booking;
+import static lupinvalve.net.HeldCore.draining;
 import static lupinvalve.net.HeldCore.entry;
 import static lupinvalve.net.HeldCore.gone;
 import static lupinvalve.net.HeldCore.read;
@@ -78,6 +79,36 @@
         }
     }
 
+    @Test
+    void whatWaitsForItsConnectionDoesNotGoToOneThatMayHaveBeenDrainedLongAgo() throws Exception {
+        try (DbNode primary = new DbNode("p", true);
+                HeldCore pooler = new HeldCore(AS_IT_IS, entry(primary, "p", 0)); Socket client = pooler.client()) {
+            primary.greets = new CountDownLatch(1);
+            ask(client, booking("a", 1900));
+            World.await("on its way", () -> primary.met.get() == 1);
+            pooler.listedWhole(draining(primary, "p"));
+            primary.greets.countDown();
+            assertEquals(List.of("53300"), answer(client));
+            assertEquals(List.of(), primary.seen);
+        }
+    }
+
+    @Test
+    void whatWaitsForItsConnectionGoesToAPrimaryWhoseDrainIsNew() throws Exception {
+        try (DbNode primary = new DbNode("p", true);
+                HeldCore pooler = new HeldCore(text -> text.replace("\"stop_sending_within_us\": 250000",
+                        "\"stop_sending_within_us\": 4000000"), entry(primary, "p", 0));
+                Socket client = pooler.client()) {
+            primary.greets = new CountDownLatch(1);
+            ask(client, booking("a", 1900));
+            World.await("on its way", () -> primary.met.get() == 1);
+            pooler.listed(draining(primary, "p"));
+            primary.greets.countDown();
+            assertEquals(List.of("T", "D", "C"), answer(client));
+            assertEquals(1, primary.seen.size());
+        }
+    }
+
     @Test
     void aRestingConnectionIsNotUsedOnceItsDbNodeIsElsewhere() throws Exception {
         try (DbNode first = new DbNode("p", true); DbNode second = new DbNode("p", true);
--- a/decisions/src/main/java/lupinvalve/Roster.java
+++ b/decisions/src/main/java/lupinvalve/Roster.java
@@ -16,7 +16,7 @@
      * Pauses before discovery is asked again. A change binds some seconds after discovery had it and could be reached, whatever
      * calls have failed by then: the longest pause and a call that hangs must fit in twice.
      */
-    private static final long ASK_FIRST = 250_000;
+    private static final long ASK_FIRST = 250_000, ASK_MOST = 750_000;
     private static final int DOUBLINGS = 2;
     /** How long a member that is gone is remembered, should the list name it again or a probe still end. */
     private static final long GONE_KEPT = 5_000_000;
@@ -43,7 +43,7 @@
 
     private void failed() {
         subscribed = false;
-        long most = s.settings.rules().askWithinMicros() / 4 + 1;
+        long most = Math.min(ASK_MOST, s.settings.rules().askWithinMicros() / 4 + 1);
         long pause = Math.min(ASK_FIRST << Math.min(failures++, DOUBLINGS), most);
         askAt = s.now + pause / 2 + s.random.nextLong(pause / 2 + 1);
     }
@@ -80,14 +80,14 @@
             }
             unnamed.remove(n);
             n.zone = m.zone();
-            setHealth(n, m.health());
+            setHealth(n, m.health(), news.toldSince());
             restarted(n, m.bornMicros());
             if (m.listedPrimary() && n.group.primary == null && n.replicaAt == Long.MIN_VALUE
                     && m.health() == Routing.Health.LIVE) {
                 n.group.primary = n;
             }
         }
-        unnamed.forEach(n -> setHealth(n, Routing.Health.GONE));
+        unnamed.forEach(n -> setHealth(n, Routing.Health.GONE, news.toldSince()));
     }
 
     private void adopt(Node n, Routing.Member m) {
@@ -99,9 +99,11 @@
         g.members.sort(Comparator.comparing(x -> x.id));
     }
 
-    private void setHealth(Node n, Routing.Health health) {
+    /** Guards the time that a departing member may still be written to: news that may be old leaves nothing of it. */
+    private void setHealth(Node n, Routing.Health health, long toldSince) {
         if (health != Routing.Health.LIVE && n.health == Routing.Health.LIVE) {
-            n.toldLeaving = s.now;
+            long oldest = s.now - s.settings.rules().drainGraceMicros();
+            n.toldLeaving = Math.min(s.now, Math.max(oldest, toldSince));
         }
         n.health = health;
         if (health == Routing.Health.GONE && n.group.primary == n) {
--- a/decisions/src/main/java/lupinvalve/Routing.java
+++ b/decisions/src/main/java/lupinvalve/Routing.java
@@ -148,8 +148,17 @@
     /** What a router is told. */
     public sealed interface Event {}
 
-    /** News of the list; {@code members} is empty for {@link ListForm#UNAVAILABLE}. */
-    public record Members(ListForm form, List<Member> members) implements Event {
+    /**
+     * News of the list; {@code members} is empty for {@link ListForm#UNAVAILABLE}.
+     *
+     * @param toldSince the earliest time at which it may have been told; a departure binds from then on
+     */
+    public record Members(ListForm form, List<Member> members, long toldSince) implements Event {
+        /** An update that is told the moment it comes; a list that may repeat what was told long ago. */
+        public Members(ListForm form, List<Member> members) {
+            this(form, members, form == ListForm.UPDATE ? Long.MAX_VALUE : Long.MIN_VALUE);
+        }
+
         public Members {
             members = List.copyOf(members);
         }
--- a/discovery/src/main/java/lupinvalve/discovery/Chunks.java
+++ b/discovery/src/main/java/lupinvalve/discovery/Chunks.java
@@ -60,6 +60,11 @@
         return out.toByteArray();
     }
 
+    /** Whether what has come so far ends with a whole chunk, but perhaps for the end of its line. */
+    boolean between() {
+        return at == At.SIZE && left == 0 || at == At.DATA_END;
+    }
+
     boolean ended() {
         return at == At.ENDED;
     }
--- a/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
+++ b/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import lupinvalve.Routing;
 import lupinvalve.core.Deadlines;
 import lupinvalve.core.Directory;
@@ -19,27 +21,26 @@
 
 /** The list over HTTP/1.1: whole on demand, and as a watch of changes. Core thread only. */
 public final class HttpDirectory implements Directory {
-    /**
-     * A watch beats every 2 s. One silent for longer gets a successor, and is let go after twice that, as no reset will
-     * tell. What it misses binds 6 s later: from the first figure on there is time for three calls, two of which may fail.
-     */
-    private static final long WATCH_DOUBTED = 2_600_000, WATCH_SILENCE = 4_200_000;
-    /** How long a call may take until its answer begins; discovery itself gives one up after a second. */
+    /** How long a call for the whole list may take until it is answered; discovery itself gives one up after a second. */
     private static final long CALL = 1_200_000;
     private static final int ANSWER_MOST = 4 << 20;
     /** A departure binds 250 ms after it was told: so much may the core be behind before that is worth a line. */
     private static final long LATE = 50_000;
+    /** How old at most what is not known may be when a request is decided, and how long the core waits for that. */
+    private static final long BLIND_LEAST = 100_000, CATCH_UP = 500_000;
     private final Net net;
     private final Pooler pooler;
     private final Loop loop;
     private final ListReader reader;
     private InetSocketAddress address;
+    private final WatchSchedule schedule;
+    private final Map<Long, Call> watches = new HashMap<>();
+    private Deadlines.Deadline due;
+    private long dueAt = Long.MAX_VALUE;
     private long revision;
-    private Call watch;
-    /** The watch before, silent or at the former address, let go once its successor has answered. */
-    private Call leaving;
-    /** Calls begun so far; which of them told the revision held. */
-    private long calls, toldBy;
+    /** Calls begun so far; which of them told the revision held; with which of them its numbers last began anew. */
+    private long calls, toldBy, numberedBy;
+    private long knownUpTo;
 
     public HttpDirectory(Net net, Pooler pooler, InetSocketAddress address, ListReader reader, long revision) {
         this.net = net;
@@ -48,23 +49,67 @@
         this.reader = reader;
         this.revision = revision;
         loop = pooler.loop();
+        schedule = new WatchSchedule(new Watches());
+        knownUpTo = loop.now();
+        loop.beforeEach(this::look);
+    }
+
+    /** What the schedule of watches wants done. */
+    private final class Watches implements WatchSchedule.Calls {
+        @Override
+        public void open(long number) {
+            watches.put(number, new Call("/api/targets?follow=1&since=" + revision, number));
+        }
+
+        @Override
+        public void drop(long number) {
+            watches.remove(number).end();
+        }
+
+        @Override
+        public void unavailable() {
+            pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
+        }
+    }
+
+    /**
+     * Runs before each piece of the core's work. Guards decisions that are made right after this process stood still, or
+     * while only its listening thread did: what discovery has told meanwhile is read first.
+     */
+    private void look() {
+        long blind = Math.max(BLIND_LEAST, pooler.settings().rules().drainGraceMicros() / 2);
+        long upTo = net.readUpTo(blind, CATCH_UP);
+        long now = loop.now();
+        // Where the wait was in vain service goes on; that has been logged.
+        knownUpTo = now - upTo > blind ? now : upTo;
+    }
+
+    @Override
+    public long knownUpTo() {
+        return knownUpTo;
     }
 
     @Override
     public void subscribe(boolean active) {
-        watch = let(watch);
-        if (!active) {
-            leaving = let(leaving);
-        } else {
-            watch = new Call("/api/targets?follow=1&since=" + revision, true);
-        }
+        schedule.subscribe(active, loop.now());
+        schedule();
     }
 
-    private static Call let(Call call) {
-        if (call != null) {
-            call.end();
+    /** Sets the deadline to what the schedule waits for now. */
+    private void schedule() {
+        long next = schedule.nextAt();
+        if (next != dueAt) {
+            loop.drop(due);
+            dueAt = next;
+            due = next == Long.MAX_VALUE ? null : loop.after(next - loop.now(), this::due);
         }
-        return null;
+    }
+
+    private void due() {
+        dueAt = Long.MAX_VALUE;
+        Log.info("discovery: a watch is silent");
+        schedule.due(loop.now());
+        schedule();
     }
 
     /**
@@ -76,18 +121,13 @@
             return;
         }
         address = to;
-        if (watch != null) {
-            if (leaving == null) {
-                leaving = watch;
-                watch = null;
-            }
-            subscribe(true);
-        }
+        schedule.moved(loop.now());
+        schedule();
     }
 
     @Override
     public void fetch() {
-        new Call("/api/targets", false);
+        new Call("/api/targets", 0);
     }
 
     /**
@@ -98,14 +138,15 @@
     private void tell(Call by, byte[] json) throws IOException {
         ListReader.Listed listed = reader.read(json, 0, json.length);
         boolean anew = by.watching && listed.complete() && by.number > toldBy && listed.revision() < by.since;
-        if (listed.revision() < revision && !anew) {
+        if (by.number < numberedBy || listed.revision() < revision && !anew) {
             Log.info("discovery: revision %d after %d, not taken", listed.revision(), revision);
             return;
         }
+        numberedBy = anew ? by.number : numberedBy;
         revision = listed.revision();
         toldBy = Math.max(toldBy, by.number);
         pooler.listed(new News(listed.complete() ? Routing.ListForm.FULL : Routing.ListForm.UPDATE,
-                listed.entries()));
+                listed.entries(), by.toldSince(listed.complete())));
     }
 
     /** Takes bytes as they come: the answer is cut on the core thread. */
@@ -119,6 +160,8 @@
 
     private final class Call implements Link.Events {
         private final boolean watching;
+        /** Its number among the watches, 0 where it is none. */
+        private final long watch;
         private final String path;
         private final ByteArrayOutputStream head = new ByteArrayOutputStream();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -126,32 +169,36 @@
         private final Chunks chunks = new Chunks();
         private final Link link;
         private final long number = ++calls, since = revision;
-        private Deadlines.Deadline patience, doubt;
-        private boolean bodied, chunked, over;
+        private Deadlines.Deadline patience;
+        private boolean bodied, chunked, over, told;
         private long length = -1, bodyBytes;
+        /** When what is being taken was read, and when the word before it was; 0 where this is the first. */
+        private long readAt, wordAt;
+        /** Since when what is not whole yet may have been on its way; 0 where nothing is. */
+        private long begunSince;
 
-        Call(String path, boolean watching) {
+        Call(String path, long watch) {
             this.path = path;
-            this.watching = watching;
-            patience = loop.after(CALL, this::fail);
+            this.watch = watch;
+            watching = watch > 0;
+            // A watch has the schedule's deadlines.
+            patience = watching ? null : loop.after(CALL, this::fail);
             link = net.dial(address, new Raw(), this);
         }
 
         void end() {
             over = true;
             loop.drop(patience);
-            loop.drop(doubt);
             link.drop();
         }
 
-        /** The watch should have said something: it may be dead, so another is opened beside it. */
-        private void doubted() {
-            if (watch == this && leaving == null) {
-                Log.info("discovery: watch is silent, another is opened");
-                leaving = this;
-                watch = null;
-                subscribe(true);
-            }
+        /**
+         * The earliest time at which what is being taken may have been told. Only a change on a watch that has not missed a
+         * beat, with no other open that may have been told it before, is as new as its bytes; anything else may be old.
+         */
+        long toldSince(boolean whole) {
+            boolean beats = wordAt > 0 && readAt - wordAt <= WatchSchedule.BEAT + WatchSchedule.BEAT_LATE;
+            return !whole && watching && beats && schedule.alone(watch) ? begunSince : Long.MIN_VALUE;
         }
 
         private void fail() {
@@ -160,15 +207,12 @@
             }
             Log.info("discovery: %s ended", watching ? "watch" : "call");
             end();
-            if (leaving == this) {
-                // Its successor is being called, or has failed and been reported.
-                leaving = null;
-                return;
-            }
-            if (watch == this) {
-                watch = null;
+            if (watching) {
+                schedule.failed(watch);
+                schedule();
+            } else {
+                pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
             }
-            pooler.listed(new News(Routing.ListForm.UNAVAILABLE, List.of()));
         }
 
         @Override
@@ -199,6 +243,7 @@
             if (waited > LATE) {
                 Log.info("discovery: its word waited %d us for the core", waited);
             }
+            readAt = atMicros;
             try {
                 for (byte[] bytes : messages) {
                     if (!over) {
@@ -213,6 +258,7 @@
 
         private void take(byte[] bytes) throws IOException {
             byte[] rest = bytes;
+            begunSince = begunSince == 0 ? link.unreadSince() : begunSince;
             if (!bodied) {
                 head.writeBytes(bytes);
                 byte[] all = head.toByteArray();
@@ -227,23 +273,21 @@
                 rest = Arrays.copyOfRange(all, end + 4, all.length);
                 bodied = true;
                 if (watching) {
-                    // Where nothing has changed it says nothing until its first beat.
-                    loop.drop(patience);
-                    patience = loop.after(WATCH_DOUBTED, this::fail);
+                    schedule.headed(watch, loop.now());
+                    schedule();
                 }
             }
             body(chunked ? chunks.take(rest) : rest);
+            if (!objects.unfinished() && (!chunked || chunks.between())) {
+                begunSince = 0;
+            }
         }
 
         /** The watch has said something whole: a beat, or an object. Half of one may never be finished. */
         private void spoke() {
-            if (watch == this) {
-                leaving = let(leaving);
-            }
-            loop.drop(patience);
-            loop.drop(doubt);
-            patience = loop.after(WATCH_SILENCE, this::fail);
-            doubt = loop.after(WATCH_DOUBTED, this::doubted);
+            wordAt = readAt;
+            schedule.spoke(watch, loop.now());
+            schedule();
         }
 
         private void head(String text) throws IOException {
@@ -280,8 +324,10 @@
             }
             for (byte[] json : objects.take(bytes)) {
                 tell(this, json);
+                told = true;
             }
-            if (bytes.length > 0 && !objects.unfinished() && !over) {
+            // Where nothing was known before, a beat is no word: the list has to come first.
+            if (bytes.length > 0 && !objects.unfinished() && !over && (told || since > 0 || pooler.knowsNodes())) {
                 spoke();
             }
             bodyBytes += bytes.length;
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -53,6 +53,11 @@
     private byte[] kept = new byte[0];
     private int length;
     private boolean deaf;
+    private boolean tookAll = true;
+    private ReadProgress progress;
+    /** When what is written past so many bytes may begin to go out at the latest. */
+    private volatile long beginBy = Long.MAX_VALUE, beginsAfter;
+    private volatile boolean tooLate;
     // Both sides, under the gate: a read and the decision to end the connection exclude each other.
     private final Object gate = new Object();
     private long bytesRead;
@@ -70,7 +75,7 @@
     private IoSession session;
     private long bytesTold, unfinishedSince, writtenAt;
     private boolean rest;
-    private long writtenAtRead;
+    private long writtenAtRead, unreadSince;
     private ConnectFuture dialling;
     private long handed;
     private boolean over;
@@ -104,6 +109,25 @@
         fence = open;
     }
 
+    void progress(ReadProgress of) {
+        progress = of;
+    }
+
+    /** Whether the first byte of what is to begin in time would be late by now; processor's thread. */
+    boolean isTooLate(long written) {
+        if (written == beginsAfter && loop.now() > beginBy) {
+            tooLate = true;
+        }
+        return tooLate;
+    }
+
+    /** Whether the reads since the last call have left nothing behind; processor's thread. */
+    boolean tookAll() {
+        boolean all = tookAll;
+        tookAll = true;
+        return all;
+    }
+
     /** Reads, unless the core has decided to end the connection. */
     int read(Read read) throws Exception {
         synchronized (gate) {
@@ -113,6 +137,8 @@
             }
             int count = read.run();
             bytesRead += Math.max(0, count);
+            // MINA reads on until nothing is left or its buffer is full.
+            tookAll = count <= 0;
             return count;
         }
     }
@@ -181,6 +207,7 @@
             clear();
         }
         long at = loop.now();
+        long since = progress == null ? Long.MIN_VALUE : at - progress.ageMicros();
         String why = fault;
         boolean behind = why != null || length > 0;
         if (ahead.addAndGet(more) > AHEAD_MOST) {
@@ -201,6 +228,7 @@
             }
             rest = behind;
             writtenAtRead = written;
+            unreadSince = since;
             if (!over && !messages.isEmpty()) {
                 events.messages(this, messages, at);
             }
@@ -371,6 +399,26 @@
         return session == null ? null : session.getAttribute(key);
     }
 
+    /** The earliest time at which the messages that are being told may have come; long ago where nobody knows. */
+    public long unreadSince() {
+        return unreadSince;
+    }
+
+    /**
+     * What is written from now on may begin to go out until then. Guards decisions that hold for a time against a processor
+     * that is kept from running: if it is late the connection ends as by a fault, with none of it sent.
+     */
+    public void beginBy(long micros) {
+        beginBy = Long.MAX_VALUE;
+        beginsAfter = handed;
+        beginBy = micros;
+    }
+
+    /** Whether the connection has ended because something would have begun to go out too late. */
+    public boolean tooLate() {
+        return tooLate;
+    }
+
     /** Bytes given to {@link #write} so far. */
     public long handed() {
         return handed;
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -49,9 +49,10 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final SimpleIoProcessorPool<NioSession> processor =
-            new SimpleIoProcessorPool<>(Processor.class, threads, 1, null);
-    private final NioSocketConnector connector = new NioSocketConnector(threads, processor);
+    /** Where it matters how long bytes may have waited in the system; null elsewhere. */
+    private final ReadProgress progress;
+    private final IoProcessor<NioSession> processor;
+    private final NioSocketConnector connector;
 
     /** What keeps strangers out of connections; it may give other filters later than it did at first. */
     public interface Security {
@@ -76,6 +77,9 @@
         this.loop = loop;
         this.urgent = urgent;
         this.security = security;
+        progress = urgent ? new ReadProgress(threads) : null;
+        processor = urgent ? progress : new SimpleIoProcessorPool<>(Processor.class, threads, 1, null);
+        connector = new NioSocketConnector(threads, processor);
         setUp(connector.getSessionConfig());
         if (security != null) {
             connector.getFilterChain().addLast(SECURITY, security.filter(true));
@@ -100,7 +104,7 @@
     }
 
     /** MINA's processor, whose reads each connection may bar. */
-    public static final class Processor extends NioProcessor {
+    public static class Processor extends NioProcessor {
         public Processor(Executor threads) {
             super(threads);
         }
@@ -123,7 +127,7 @@
         @Override
         protected int write(NioSession session, IoBuffer out, int length) throws IOException {
             Link link = (Link) session.getAttribute(LINK);
-            if (link != null && link.isShut()) {
+            if (link != null && (link.isShut() || link.isTooLate(session.getWrittenBytes()))) {
                 throw new IOException("what was decided may no longer go out");
             }
             return super.write(session, out, length);
@@ -224,7 +228,7 @@
         private final BooleanSupplier room;
         private boolean took, crowded;
 
-        Acceptor(Executor threads, SimpleIoProcessorPool<NioSession> processor, boolean shared,
+        Acceptor(Executor threads, IoProcessor<NioSession> processor, boolean shared,
                 AtomicInteger accepted, BooleanSupplier room) {
             super(threads, processor);
             this.shared = shared;
@@ -300,6 +304,7 @@
     public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
         Link link = new Link(loop, framer, events, memory, urgent);
         link.fence(fence);
+        link.progress(progress);
         if (address.isUnresolved() || connector.isDisposing()) {
             link.ended();
             return link;
@@ -315,6 +320,24 @@
         return link;
     }
 
+    /**
+     * Waits, no longer than so, until all that had come before the given age has been handed to the core; for one whose
+     * events go first. Core thread only.
+     *
+     * @return the time up to which that holds, which is older than the age where the wait was in vain
+     */
+    public long readUpTo(long ageMicros, long most) {
+        if (progress == null || connector.getManagedSessionCount() == 0) {
+            // Nothing comes where no connection is up.
+            return loop.now();
+        }
+        if (!progress.await(ageMicros, most)) {
+            Log.warn("nothing has been read for %d us", progress.ageMicros());
+        }
+        long now = loop.now();
+        return now - progress.ageMicros();
+    }
+
     /** Closes every connection and listener. */
     public void close() {
         threads.execute(() -> {
@@ -359,8 +382,9 @@
             session.closeNow();
         }
 
-        private static Link link(IoSession session) {
-            return (Link) session.getAttribute(LINK);
-        }
+    }
+
+    static Link link(IoSession session) {
+        return (Link) session.getAttribute(LINK);
     }
 }
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -434,8 +434,8 @@
             trust.lost(conn.rested);
         }
         // An error in the greeting is no word on the request: that has not left.
-        Ending ending = known != null && (left || known.neverRan) ? known
-                : left ? Ending.BROKEN : Ending.NOT_CONNECTED;
+        Ending unsent = conn.link != null && conn.link.tooLate() ? Ending.NOT_SENT : Ending.NOT_CONNECTED;
+        Ending ending = known != null && (left || known.neverRan) ? known : left ? Ending.BROKEN : unsent;
         release(conn);
         tell(job, ending, null, Routing.NO_POSITION, Routing.Role.UNKNOWN);
     }
@@ -497,6 +497,7 @@
         conn.before = conn.link.handed();
         if (!conn.job.probe()) {
             pooler.figures().attempted();
+            conn.link.beginBy(pooler.beginBy(conn.node));
         }
     }
 
