Let refused reads use up nothing of a cold db node's allowance in a fleet

Cause: Limits.room looked at coldRoom before the lot that refuses under pressure; since the draw of a cold member's part happens in coldRoom, a read that was then refused had used it up. A write could use up no more than three of a read's equal shares at once, though a primary shares its writes with nobody.

Change: the lot comes first; a refusal of a cold member still doesn't count as a look that was shed. A write's equal share is one member's. Without a fleet (fewer than four poolers) nothing changes.

Before the change the new aColdMemberIsNotStarvedWhereMostReadsAreRefused fails at 14 and 30: "it is not starved: 27 against 154.0", "24 against 173.0".

--- a/decisions/src/main/java/lupinvalve/Limits.java
+++ b/decisions/src/main/java/lupinvalve/Limits.java
@@ -85,9 +85,10 @@
         Routing.Rules rules = s.settings.rules();
         long age = s.now - n.coldSince - (sparse ? rules.overloadMicros() : 0);
         double gets = Allowance.warmth(rules, age) * rules.overloadMultiple() * COLD_PART;
-        double share = Math.min(1, gets) / Math.max(1, n.group.members.size() - 1);
+        int alike = r.write() ? 1 : Math.max(1, n.group.members.size() - 1);
+        double share = Math.min(1, gets) / alike;
         n.allowance.earn(warmServed, gets / warm, sparse ? COLD_BURST * share : COLD_BURST);
-        return sparse ? n.allowance.draw(r.write() ? 1 : share) : n.allowance.whole();
+        return sparse ? n.allowance.draw(share) : n.allowance.whole();
     }
 
     boolean drawn(Node n) {
@@ -95,18 +96,18 @@
     }
 
     boolean room(Node n, Pending r, double share) {
-        if (s.now < n.fullUntil || busy(n) >= Math.max(1, n.limit * share) || !coldRoom(n, r)) {
+        if (s.now < n.fullUntil || busy(n) >= Math.max(1, n.limit * share)) {
             return false;
         }
         // Guards against many routers that each send little: what their attempts met decides by lot which
         // requests are refused at once, the more the further latencies exceed the aim's part, repeats first.
         double target = PRESSURE_SHED * (r.write() ? WRITE_EASE : share);
         double open = Math.min(1, target / pressure(n));
-        if (!sparse || r.lot < Math.pow(open, LOT_STEEP)) {
-            return true;
+        if (sparse && r.lot >= Math.pow(open, LOT_STEEP)) {
+            shed |= !cold(n);
+            return false;
         }
-        shed = true;
-        return false;
+        return coldRoom(n, r);
     }
 
     /** Attempts that a member may be at work on: long overdue ones, with others answered since, are lost. */
--- a/decisions/src/test/java/lupinvalve/FleetTest.java
+++ b/decisions/src/test/java/lupinvalve/FleetTest.java
@@ -188,6 +188,24 @@
                 + 8 * warmPerSecond(born));
     }
 
+    /** Late answers make the poolers refuse most reads: what a refused one might have used up is left for others. */
+    @ParameterizedTest
+    @ValueSource(ints = {14, 30})
+    void aColdMemberIsNotStarvedWhereMostReadsAreRefused(int count) {
+        fleet(count);
+        run(3 * SECOND, 1);
+        took = 500 * MS;
+        run(2 * SECOND, 4);
+        int refusedBefore = advice.size();
+        long born = start("m5");
+        run(10 * SECOND, 2);
+        assertTrue(advice.size() - refusedBefore > RATE * 10 / 2, "refused " + (advice.size() - refusedBefore));
+        assertBearable("m5", born, warmPerSecond(born), "pressed");
+        long cold = sends.get("m5").stream().filter(at -> at >= born).count();
+        assertTrue(cold > 0.3 * 10 * warmPerSecond(born), "it is not starved: " + cold + " against "
+                + 10 * warmPerSecond(born));
+    }
+
     /** Each pooler sees few answers: what these tell apart by chance must not make all prefer the same replicas. */
     @ParameterizedTest
     @ValueSource(ints = {14, 30, 100})
