--- a/decisions/src/main/java/lupinvalve/Choice.java
+++ b/decisions/src/main/java/lupinvalve/Choice.java
@@ -110,7 +110,7 @@
     Node keptForLong(Group g, Pending r) {
         for (Node n : g.members) {
             if (limits.anyLong && n != g.primary && primaries.ready(n, false)
-                    && !limits.cold(n) && (r == null || n != r.last)) {
+                    && !limits.inSlowStart(n) && (r == null || n != r.last)) {
                 return r == null || limits.room(n, r, 1) ? n : null;
             }
         }
--- a/decisions/src/main/java/lupinvalve/Limits.java
+++ b/decisions/src/main/java/lupinvalve/Limits.java
@@ -53,8 +53,9 @@
         load.press(n, PRESSURE_FULL);
     }
 
-    boolean cold(Node n) {
-        return n.coldSince != Long.MIN_VALUE && s.now - n.coldSince < s.settings.rules().warmUpMicros();
+    boolean inSlowStart(Node n) {
+        long warmUp = s.settings.rules().warmUpMicros();
+        return n.slowStartSince != Long.MIN_VALUE && s.now - n.slowStartSince < warmUp;
     }
 
     /**
@@ -64,19 +65,19 @@
      * saved must not go out at once: each request uses up some, an equal share of reads at most, and goes to
      * it once these add up to one. Warmth is that at the start of the time in which overload is counted.
      */
-    boolean coldRoom(Node n, Pending r) {
-        if (!cold(n) || longWork[r.cls()]) {
-            return !cold(n);
+    boolean slowStartRoom(Node n, Pending r) {
+        if (!inSlowStart(n) || longWork[r.cls()]) {
+            return !inSlowStart(n);
         }
         long warm = s.nodes.values().stream()
-                .filter(m -> m.health == Routing.Health.LIVE && m.strikes == 0 && !cold(m)).count();
+                .filter(m -> m.health == Routing.Health.LIVE && m.strikes == 0 && !inSlowStart(m)).count();
         double luck = r.lot * 1e4 + n.id.hashCode() * 0.618;
         luck -= Math.floor(luck);
         if (warm == 0) {
             return n.out.size() < (r.write() ? 3 : 1) && luck < COLD_ALONE / s.settings.routers();
         }
         Routing.Rules rules = s.settings.rules();
-        long age = s.now - n.coldSince - (sparse ? rules.overloadMicros() : 0);
+        long age = s.now - n.slowStartSince - (sparse ? rules.overloadMicros() : 0);
         double gets = Allowance.warmth(rules, age) * rules.overloadMultiple() * COLD_PART;
         int alike = r.write() ? 1 : Math.max(1, n.group.members.size() - 1);
         double share = Math.min(1, gets) / alike;
@@ -85,7 +86,7 @@
     }
 
     boolean drawn(Node n) {
-        return sparse && cold(n);
+        return sparse && inSlowStart(n);
     }
 
     boolean room(Node n, Pending r, double share) {
@@ -97,10 +98,10 @@
         double target = PRESSURE_SHED * (r.write() ? WRITE_EASE : share);
         double open = Math.min(1, target / load.pressure(n));
         if (sparse && r.lot >= Math.pow(open, LOT_STEEP)) {
-            shed |= !cold(n);
+            shed |= !inSlowStart(n);
             return false;
         }
-        return coldRoom(n, r);
+        return slowStartRoom(n, r);
     }
 
     /** Attempts that a member may be at work on: long overdue ones, with others answered since, are lost. */
@@ -116,7 +117,7 @@
     }
 
     void adapt(Node n, Pending r, long elapsed) {
-        load.served(n, r, elapsed, !cold(n) && !longWork[r.cls()]);
+        load.served(n, r, elapsed, !inSlowStart(n) && !longWork[r.cls()]);
         bound(n);
     }
 
@@ -131,7 +132,7 @@
     }
 
     void chill(Node n, long since) {
-        n.coldSince = Math.max(n.coldSince, since);
+        n.slowStartSince = Math.max(n.slowStartSince, since);
         double part = s.random.nextDouble();
         n.allowance.restart(load.warmServed(), sparse ? 0 : part, part);
         n.limit = Math.min(n.limit, startLimit);
--- a/decisions/src/main/java/lupinvalve/QueuedRequests.java
+++ b/decisions/src/main/java/lupinvalve/QueuedRequests.java
@@ -10,7 +10,7 @@
 
 /**
  * The requests that wait for a db node, in a queue for each class of each group, and how many they are. Bookkeeping only;
- * {@link Holding} decides what waits and in which order it goes on.
+ * {@link WaitQueue} decides what waits and in which order it goes on.
  */
 final class QueuedRequests {
     private int size;
--- a/decisions/src/main/java/lupinvalve/Router.java
+++ b/decisions/src/main/java/lupinvalve/Router.java
@@ -24,7 +24,7 @@
     private final Health health;
     private final Primaries primaries;
     private final Choice choice;
-    private final Holding holding;
+    private final WaitQueue waitQueue;
     private final Roster roster;
     private final Tokens tokens = new Tokens(TOKENS);
     private final Ages ages;
@@ -39,7 +39,7 @@
         health = new Health(s, limits, idles);
         primaries = new Primaries(s, limits, health);
         choice = new Choice(s, limits, health, primaries, idles);
-        holding = new Holding(s, limits, choice);
+        waitQueue = new WaitQueue(s, limits, choice);
         roster = new Roster(s, limits, primaries);
         ages = new Ages(settings.classes());
         tick();
@@ -59,11 +59,11 @@
             onProbed(probed);
         } else if (event instanceof Routing.Members members) {
             roster.take(members);
-            s.groups.values().forEach(holding::dispatch);
+            s.groups.values().forEach(waitQueue::dispatch);
         } else if (event instanceof Routing.ClientGone gone) {
             onGone(gone.id());
         }
-        if (holding.queued.size() > 0 && tickAt > s.now + TICK) {
+        if (waitQueue.queued.size() > 0 && tickAt > s.now + TICK) {
             setTick(TICK);
         }
     }
@@ -94,7 +94,7 @@
         health.probed(n, p.ending());
         if (p.ending() == Routing.Ending.SERVED) {
             primaries.learn(n, p.position(), p.role(), false);
-            holding.dispatch(n.group);
+            waitQueue.dispatch(n.group);
         }
     }
 
@@ -102,7 +102,7 @@
         Group g = s.groups.get(q.group());
         Routing.RequestClass kind = s.settings.classes().get(q.classIndex());
         if (g == null) {
-            s.act.accept(new Routing.Refuse(q.id(), holding.advice(kind)));
+            s.act.accept(new Routing.Refuse(q.id(), waitQueue.advice(kind)));
             return;
         }
         g.askedAt = s.now;
@@ -121,10 +121,10 @@
                 r.token = tokens.of(q.session());
             }
         }
-        if (r.expires - s.now <= Holding.MARGIN) {
-            holding.giveUp(r);
+        if (r.expires - s.now <= WaitQueue.MARGIN) {
+            waitQueue.giveUp(r);
         } else {
-            holding.placeOrHold(r);
+            waitQueue.placeOrHold(r);
         }
     }
 
@@ -136,7 +136,7 @@
         if (r.out != null && s.settings.limits().cancel()) {
             s.act.accept(new Routing.Cancel(r.id(), r.out.number()));
         }
-        holding.finish(r);
+        waitQueue.finish(r);
     }
 
     private void onOutcome(Routing.Outcome o) {
@@ -160,25 +160,25 @@
         } else {
             again(r, o.ending());
         }
-        holding.dispatch(r.group);
+        waitQueue.dispatch(r.group);
     }
 
     private void again(Pending r, Routing.Ending ending) {
         boolean spent = r.attempts >= s.settings.limits().attempts() || r.errors > ERRORS_MOST
-                || s.now >= Math.min(r.expires - Holding.MARGIN, r.worthlessAt());
+                || s.now >= Math.min(r.expires - WaitQueue.MARGIN, r.worthlessAt());
         if (spent || !primaries.mayRun(r, r.last)) {
-            holding.giveUp(r);
+            waitQueue.giveUp(r);
         } else {
-            holding.placeOrHold(r);
+            waitQueue.placeOrHold(r);
         }
     }
 
     private void tick() {
         for (Group g : s.groups.values()) {
             // The last look at the primary comes before the end, though both may be due at one tick.
-            holding.dispatch(g);
-            holding.expire(g);
-            if (!g.members.isEmpty() && holding.queued.anyForPrimary(g) && !primaries.ready(g.primary, true)
+            waitQueue.dispatch(g);
+            waitQueue.expire(g);
+            if (!g.members.isEmpty() && waitQueue.queued.anyForPrimary(g) && !primaries.ready(g.primary, true)
                     && s.now >= g.changeProbeAt) {
                 // One member at a time, the faster the more is held, as every router does the same.
                 long pace = CHANGE_PROBE_PACE / Math.min(g.held, g.members.size());
@@ -197,7 +197,7 @@
             }
         }
         roster.tick();
-        setTick(holding.queued.size() > 0 ? TICK : IDLE_TICK);
+        setTick(waitQueue.queued.size() > 0 ? TICK : IDLE_TICK);
     }
 
     /** Whether a member in the list is not used by choice. */
--- a/decisions/src/main/java/lupinvalve/State.java
+++ b/decisions/src/main/java/lupinvalve/State.java
@@ -89,7 +89,7 @@
         long shunnedUntil, ejectedUntil = Long.MIN_VALUE, brokenSince = Long.MIN_VALUE, brokenLast;
         boolean onTrial;
         // Warm-up: when it began, and what may be sent since.
-        long coldSince = Long.MIN_VALUE;
+        long slowStartSince = Long.MIN_VALUE;
         final Allowance allowance = new Allowance();
         boolean probing;
         // Whether a connection may be open, and when an attempt last ended on one.
--- a/decisions/src/main/java/lupinvalve/Holding.java
+++ b/decisions/src/main/java/lupinvalve/WaitQueue.java
@@ -8,7 +8,7 @@
 import lupinvalve.State.*;
 
 /** What is held and in which order it is let go, and the final answer of what is given up. */
-final class Holding {
+final class WaitQueue {
     /** Kept back from a deadline so that the final answer is out in time; share for what was never sent. */
     static final long MARGIN = 15_000;
     private static final double UNTRIED = 0.49;
@@ -24,7 +24,7 @@
     private final List<Integer> order = new ArrayList<>();
     final QueuedRequests queued = new QueuedRequests();
 
-    Holding(Scene scene, Limits limits, Choice choice) {
+    WaitQueue(Scene scene, Limits limits, Choice choice) {
         s = scene;
         this.limits = limits;
         this.choice = choice;
