--- a/decisions/src/main/java/lupinvalve/Router.java
+++ b/decisions/src/main/java/lupinvalve/Router.java
@@ -26,7 +26,7 @@
     private final Choice choice;
     private final WaitQueue waitQueue;
     private final Roster roster;
-    private final Tokens tokens = new Tokens(TOKENS);
+    private final Tokens tokens;
     private final Ages ages;
     private long membersAt, tickAt = Long.MAX_VALUE;
 
@@ -42,6 +42,7 @@
         waitQueue = new WaitQueue(s, limits, choice);
         roster = new Roster(s, limits, primaries);
         ages = new Ages(settings.classes());
+        tokens = new Tokens(TOKENS, settings.replication().tokens());
         tick();
     }
 
@@ -112,15 +113,8 @@
         lot = repeat ? REPEAT_LOT + (1 - REPEAT_LOT) * lot : lot;
         Pending r = new Pending(q, kind, g, s.now, repeat, lot);
         s.requests.put(r.id(), r);
-        if (kind.access() == Routing.Access.STRONG) {
-            r.token = s.now;
-        } else if (kind.access() == Routing.Access.SESSION) {
-            if (s.settings.replication().tokens() == Routing.TokenSource.CARRIED) {
-                r.token = q.sinceWriteMicros() > 0 ? s.now - q.sinceWriteMicros() : Long.MIN_VALUE;
-            } else if (q.session() != null) {
-                r.token = tokens.of(q.session());
-            }
-        }
+        r.token = kind.access() == Routing.Access.STRONG ? s.now
+                : kind.access() == Routing.Access.SESSION ? tokens.of(q, s.now) : Long.MIN_VALUE;
         if (r.expires - s.now <= WaitQueue.MARGIN) {
             waitQueue.giveUp(r);
         } else {
@@ -149,10 +143,9 @@
         a.ended(s.now, o.ending());
         health.judge(n, r, a, o);
         primaries.learn(n, o.position(), o.role(), true);
-        if (o.ending() == Routing.Ending.SERVED && r.write() && r.asked.session() != null
-                && s.settings.replication().tokens() == Routing.TokenSource.REMEMBERED) {
+        if (o.ending() == Routing.Ending.SERVED && r.write()) {
             // The design's token: a session's later reads must see this write.
-            tokens.raise(r.asked.session(), o.position() == Routing.NO_POSITION ? s.now : o.position());
+            tokens.raise(r.asked, o.position() == Routing.NO_POSITION ? s.now : o.position());
         }
         if (o.closed() || r.over) {
             r.over = true;
--- a/decisions/src/main/java/lupinvalve/State.java
+++ b/decisions/src/main/java/lupinvalve/State.java
@@ -196,21 +196,37 @@
         }
     }
 
-    /** Sessions' tokens, bounded in number: those dropped for space still bind through a floor. */
+    /**
+     * Sessions' tokens: those that requests carry, or those remembered here. The latter are bounded in number; those dropped
+     * for space still bind through a floor.
+     */
     static final class Tokens {
         private final int most;
+        private final Routing.TokenSource source;
         private final LinkedHashMap<String, Long> held = new LinkedHashMap<>();
         private long floor = Long.MIN_VALUE;
 
-        Tokens(int most) {
+        Tokens(int most, Routing.TokenSource source) {
             this.most = most;
+            this.source = source;
+        }
+
+        /** The token of a request's session, or the least of all where it has none. */
+        long of(Routing.Request request, long now) {
+            if (source == Routing.TokenSource.CARRIED) {
+                return request.sinceWriteMicros() > 0 ? now - request.sinceWriteMicros() : Long.MIN_VALUE;
+            }
+            return request.session() == null ? Long.MIN_VALUE : held.getOrDefault(request.session(), floor);
         }
 
-        long of(String session) {
-            return held.getOrDefault(session, floor);
+        /** Remembers the position of a session's write, unless its requests carry their tokens themselves. */
+        void raise(Routing.Request request, long position) {
+            if (source == Routing.TokenSource.REMEMBERED && request.session() != null) {
+                raise(request.session(), position);
+            }
         }
 
-        void raise(String session, long position) {
+        private void raise(String session, long position) {
             Long before = held.remove(session);
             held.put(session, before == null ? position : Math.max(before, position));
             if (held.size() > most) {
