--- a/decisions/src/main/java/lupinvalve/Health.java
+++ b/decisions/src/main/java/lupinvalve/Health.java
@@ -151,26 +151,7 @@
                 r.errors++;
                 r.erredAt.add(n);
             }
-            case TIMED_OUT -> {
-                // Guards against silent members. One lost attempt proves little, least of all when the
-                // client's own time cut it short: the first only asks for a probe.
-                boolean silent = n.answeredAt < a.sentAt() && s.now >= a.overdueAt();
-                if (silent && idle.suspects(a)) {
-                    // The connection may be what was lost: the next attempt on a new one will tell.
-                    idle.lost(n, a);
-                } else if (silent) {
-                    if (n.silent++ > 0) {
-                        n.probeFails = 0;
-                        strike(n);
-                    }
-                    probe(n);
-                } else {
-                    // One that stayed out while others were answered may be lost: it tells little of load.
-                    double told = (double) o.elapsedMicros() / r.kind.aimMicros();
-                    limits.load.press(n, Math.min(told, 2 * limits.load.pressure(n)));
-                    limits.bound(n);
-                }
-            }
+            case TIMED_OUT -> timedOut(n, r, a, o);
             case NOT_CONNECTED, BROKEN -> {
                 // Guards members that live: one connection that breaks, or one spoilt answer, is no sign of a
                 // death. That breaks all connections at once and refuses new ones.
@@ -186,4 +167,25 @@
             default -> { }
         }
     }
+
+    private void timedOut(Node n, Pending r, Attempt a, Routing.Outcome o) {
+        // Guards against silent members. One lost attempt proves little, least of all when the
+        // client's own time cut it short: the first only asks for a probe.
+        boolean silent = n.answeredAt < a.sentAt() && s.now >= a.overdueAt();
+        if (silent && idle.suspects(a)) {
+            // The connection may be what was lost: the next attempt on a new one will tell.
+            idle.lost(n, a);
+        } else if (silent) {
+            if (n.silent++ > 0) {
+                n.probeFails = 0;
+                strike(n);
+            }
+            probe(n);
+        } else {
+            // One that stayed out while others were answered may be lost: it tells little of load.
+            double told = (double) o.elapsedMicros() / r.kind.aimMicros();
+            limits.load.press(n, Math.min(told, 2 * limits.load.pressure(n)));
+            limits.bound(n);
+        }
+    }
 }
--- a/decisions/src/main/java/lupinvalve/LoadStatistics.java
+++ b/decisions/src/main/java/lupinvalve/LoadStatistics.java
@@ -15,7 +15,7 @@
     /** How fast the estimate of work falls to a shorter latency, and rises to a longer one. */
     private static final double WORK_FALLS = 0.1;
     private static final double WORK_RISES = 0.02;
-    private final Scene s;
+    private final Scene context;
     private final double usualPressure;
     private final double usualSlowness;
     private final Gauge replicaLoad = Limits.gauge();
@@ -24,23 +24,23 @@
     private double warmServed;
 
     /** Starts empty: where nothing was seen yet, latency over aim and latency over work are taken for the usual ones. */
-    LoadStatistics(Scene scene, double usualPressure, double usualSlowness) {
-        s = scene;
+    LoadStatistics(Scene context, double usualPressure, double usualSlowness) {
+        this.context = context;
         this.usualPressure = usualPressure;
         this.usualSlowness = usualSlowness;
-        work = s.settings.classes().stream().mapToDouble(kind -> kind.aimMicros() * FIRST_WORK).toArray();
+        work = context.settings.classes().stream().mapToDouble(kind -> kind.aimMicros() * FIRST_WORK).toArray();
     }
 
     /** Latency over aim at a db node; it leans on that at its group's replicas, that on all of its kind. */
     double pressure(Node node) {
         boolean primary = node == node.group.primary;
-        double all = (primary ? primaryLoad : replicaLoad).mean(s.now, usualPressure);
-        return node.load.mean(s.now, primary ? all : node.group.load.mean(s.now, all));
+        double all = (primary ? primaryLoad : replicaLoad).mean(context.now, usualPressure);
+        return node.load.mean(context.now, primary ? all : node.group.load.mean(context.now, all));
     }
 
     /** Latency over work at a db node, leaning likewise. */
     double slow(Node node) {
-        return node.slow.mean(s.now, node.group.slow.mean(s.now, usualSlowness));
+        return node.slow.mean(context.now, node.group.slow.mean(context.now, usualSlowness));
     }
 
     /** How long the work of a request of this class takes where nothing else is done, in microseconds. */
@@ -50,8 +50,8 @@
 
     /** How long an answer for a held request will take at its group, as far as it is known. */
     double takes(Pending request) {
-        double all = replicaLoad.mean(s.now, usualPressure);
-        return request.group.load.mean(s.now, all) * request.kind.aimMicros();
+        double all = replicaLoad.mean(context.now, usualPressure);
+        return request.group.load.mean(context.now, all) * request.kind.aimMicros();
     }
 
     /** How many requests warm db nodes have served. */
@@ -61,12 +61,12 @@
 
     /** Notes a latency over aim. */
     void press(Node node, double overAim) {
-        node.load.add(s.now, overAim);
+        node.load.add(context.now, overAim);
         if (node == node.group.primary) {
-            primaryLoad.add(s.now, overAim);
+            primaryLoad.add(context.now, overAim);
         } else {
-            node.group.load.add(s.now, overAim);
-            replicaLoad.add(s.now, overAim);
+            node.group.load.add(context.now, overAim);
+            replicaLoad.add(context.now, overAim);
         }
     }
 
@@ -75,8 +75,8 @@
         double before = work[request.cls()];
         work[request.cls()] += (elapsed < before ? WORK_FALLS : WORK_RISES) * (elapsed - before);
         double overWork = elapsed / work[request.cls()];
-        node.slow.add(s.now, overWork);
-        node.group.slow.add(s.now, overWork);
+        node.slow.add(context.now, overWork);
+        node.group.slow.add(context.now, overWork);
         press(node, (double) elapsed / request.kind.aimMicros());
         warmServed += warm ? 1 : 0;
     }
