--- a/config/src/main/java/lupinvalve/config/OperatorConfig.java
+++ b/config/src/main/java/lupinvalve/config/OperatorConfig.java
@@ -20,21 +20,36 @@
             String nodePassword, String database) {}
 
     /**
-     * This member of the group that keeps the configuration.
+     * This pooler's part in the group that keeps the configuration.
      *
      * @param cluster whom members may talk to at all
-     * @param listen where this member listens; others hear of it by that address
-     * @param members addresses of the members by name, as reached from here; they found the group
+     * @param listen where this member listens; others hear of it by that address; null at a subscriber
+     * @param members addresses of the members by name, as reached from here; they found the group, or are followed
      * @param waitMicros how long a booking's answer waits for a majority to hold its session's token; 0 for not at all
+     * @param role whether it is a member or follows the members
      */
     public record Store(String cluster, String name, Path folder, String listen, Map<String, String> members, Tls tls,
-            long waitMicros, Audit audit) {
+            long waitMicros, Audit audit, Role role) {
         public Store(String cluster, String name, Path folder, String listen, Map<String, String> members, Tls tls,
                 long waitMicros) {
             this(cluster, name, folder, listen, members, tls, waitMicros, Audit.OFF);
         }
+
+        /** A member. */
+        public Store(String cluster, String name, Path folder, String listen, Map<String, String> members, Tls tls,
+                long waitMicros, Audit audit) {
+            this(cluster, name, folder, listen, members, tls, waitMicros, audit, Role.MEMBER);
+        }
+
+        /** One that follows the members. */
+        public static Store subscriber(String cluster, String name, Path folder, Map<String, String> members, Tls tls, Audit audit) {
+            return new Store(cluster, name, folder, null, members, tls, 0, audit, Role.SUBSCRIBER);
+        }
     }
 
+    /** Whether a pooler is a member of the group (it keeps the log and may vote) or follows what members have accepted. */
+    public enum Role { MEMBER, SUBSCRIBER }
+
     /** Whether a member keeps entries of what it acts on and holds a lease for it, and what it does once that has ended. */
     public enum Audit { OFF, SERVE, FENCE }
 
@@ -172,6 +187,7 @@
         Tls tls = null;
         long wait = 0;
         Audit audit = Audit.OFF;
+        Role role = Role.MEMBER;
         Map<String, String> members = new TreeMap<>();
         while (in.nextToken() == JsonToken.FIELD_NAME) {
             String name = in.currentName();
@@ -184,6 +200,7 @@
                 case "members" -> members(in, members);
                 case "tls" -> tls = tls(in);
                 case "audit" -> audit = audit(in.getValueAsString(""));
+                case "role" -> role = role(in.getValueAsString(""));
                 case "wait_for_majority_ms" -> wait = in.getValueAsLong(-1) * 1000;
                 case "peers", "secret" -> throw new IOException("operator's file: store." + name
                         + " was the old store's; now store.members names all members, and store.tls guards them");
@@ -192,7 +209,11 @@
         }
         needed("store.name", member);
         needed("store.folder", folder);
-        needed("store.listen", listen);
+        if (role == Role.SUBSCRIBER) {
+            followsOnly(listen, wait);
+        } else {
+            needed("store.listen", listen);
+        }
         if (!member.matches(NAME) || !cluster.matches(NAME)) {
             throw new IOException("operator's file: store.name and store.cluster are letters, digits, - and _: " + member
                     + ", " + cluster);
@@ -205,7 +226,26 @@
             throw new IOException("operator's file: store.wait_for_majority_ms is " + wait / 1000 + "; 0 to "
                     + WAIT_MOST / 1000 + " are possible");
         }
-        return new Store(cluster, member, Path.of(folder), listen, Map.copyOf(members), tls, wait, audit);
+        return new Store(cluster, member, Path.of(folder), listen, Map.copyOf(members), tls, wait, audit, role);
+    }
+
+    /** A subscriber takes no connections, and its sessions' commits reach no majority. */
+    private static void followsOnly(String listen, long wait) throws IOException {
+        if (listen != null) {
+            throw new IOException("operator's file: store.listen is " + listen + "; a subscriber listens nowhere");
+        }
+        if (wait != 0) {
+            throw new IOException("operator's file: store.wait_for_majority_ms is " + wait / 1000
+                    + "; a subscriber tells the group of no commits");
+        }
+    }
+
+    private static Role role(String text) throws IOException {
+        return switch (text) {
+            case "member" -> Role.MEMBER;
+            case "subscriber" -> Role.SUBSCRIBER;
+            default -> throw new IOException("operator's file: store.role is " + text + "; member and subscriber are possible");
+        };
     }
 
     private static Audit audit(String text) throws IOException {
--- a/group/src/main/java/lupinvalve/replication/Group.java
+++ b/group/src/main/java/lupinvalve/replication/Group.java
@@ -37,7 +37,7 @@
  * One member of the group with all that belongs to it: disk, connections, the founding, what operators ask, and what
  * the pooler beside it is told. It runs on a thread of its own, since a force of the disk takes as long as many requests.
  */
-public final class Group {
+public final class Group implements ControlPlane {
     /** Answers that wait for a majority at once; those beyond go out when their bound is over. */
     private static final int HELD_MOST = 10_000;
     private static final long TICK = 100_000;
@@ -169,7 +169,13 @@
         return warm;
     }
 
+    @Override
+    public Known known() {
+        return new Known(warm.document(), warm.listing().nodes(), Encoding.commits(warm));
+    }
+
     /** Begins to take part; {@code beside} hears first what was accepted before. */
+    @Override
     public void start(Pooler beside) throws IOException {
         pooler = beside;
         peers.listen();
@@ -190,21 +196,25 @@
     }
 
     /** Whether the pooler beside may act on what it knows; from any thread. */
+    @Override
     public boolean mayAct() {
         return acting == null || acting.holds();
     }
 
     /** Whether the right to act can end here. */
+    @Override
     public boolean fences() {
         return config.audit() == OperatorConfig.Audit.FENCE;
     }
 
     /** Whether this member leads, as far as it knows; from any thread. */
+    @Override
     public boolean leads() {
         return leading;
     }
 
     /** Keys and certificates as the files have them now; from any thread. Throws where they can't be used. */
+    @Override
     public void reload() throws IOException {
         if (tls != null) {
             tls.reload();
@@ -214,6 +224,7 @@
     }
 
     /** Ends at once; what was asked and not answered may have happened. From any thread but the group's. */
+    @Override
     public void stop() {
         if (ending.getAndSet(true)) {
             return;
@@ -512,6 +523,7 @@
     // ---- the pooler's changes ----
 
     /** A session's commit here; {@code then} runs, on the group's thread, once a majority holds it. From any thread. */
+    @Override
     public void committed(String session, long position, Runnable then) {
         loop.post(() -> {
             long bundle = outbox.add(session, position, loop.now());
@@ -555,6 +567,7 @@
     }
 
     /** The list of db nodes as this pooler has it; the leader's goes to all. From any thread. */
+    @Override
     public void listing(List<Change.Listed> nodes) {
         loop.post(() -> {
             if (leading) {
