Let poolers that are no members follow the group by a long poll with a lease

Cause: each pooler was a member of the group, and members and learners cost the leader heartbeats, leases and the whole log each. Change: the call follow (long poll at any member) carries what a subscriber acts on, its lease, and the document as differences with a digest of the whole; decisions are in the module subscription, group has Followers (member) and Subscriber. A member grants no further than its own lease, which comes with what the leader had applied; leases tell the leader up to where subscribers act, so a strict change waits for them. Older programs neither send nor see the new fields.

--- a/audit/src/main/java/lupinvalve/audit/Lease.java
+++ b/audit/src/main/java/lupinvalve/audit/Lease.java
@@ -19,7 +19,12 @@
 
     /** A request that was about to be sent at a time has been granted, for so long. */
     public void granted(long askedMicros, long lengthMicros) {
-        until = Math.max(until, askedMicros + (long) (lengthMicros * (1 - DRIFT)));
+        until = Math.max(until, end(askedMicros, lengthMicros));
+    }
+
+    /** When a lease ends that was asked for at a time and granted for so long. */
+    public static long end(long askedMicros, long lengthMicros) {
+        return askedMicros + (long) (lengthMicros * (1 - DRIFT));
     }
 
     public boolean holds(long nowMicros) {
--- a/audit/src/main/java/lupinvalve/audit/Leases.java
+++ b/audit/src/main/java/lupinvalve/audit/Leases.java
@@ -18,7 +18,7 @@
     private static final long STEADY = 300_000, STEADY_MOST = 5_000_000;
 
     private static final class Held {
-        long until, acting, wellSince = Long.MIN_VALUE;
+        long until, acting, followers, wellSince = Long.MIN_VALUE;
         String objection = "", shutOut = "";
         int times;
     }
@@ -61,8 +61,18 @@
      * @param objection why it can't act on more, or empty
      */
     public Granted renew(String pooler, long acting, String objection, long nowMicros) {
+        return renew(pooler, acting, objection, Long.MAX_VALUE, nowMicros);
+    }
+
+    /**
+     * The same for a pooler that others follow.
+     *
+     * @param followers up to which change those act that hold a lease of its own; they are waited for, and don't shut it out
+     */
+    public Granted renew(String pooler, long acting, String objection, long followers, long nowMicros) {
         Held one = held.computeIfAbsent(pooler, p -> new Held());
         one.acting = acting;
+        one.followers = followers;
         one.objection = objection;
         // One that holds none may have been passed over already when the change was called done.
         boolean behind = acting < strict && (nowMicros - strictSince > CATCH_UP || !objection.isEmpty() || nowMicros >= one.until);
@@ -94,7 +104,7 @@
             Held one = held.get(pooler);
             // It may hold a lease of the leader before, whatever it was granted here.
             boolean may = nowMicros < Math.max(electedUntil, one == null ? 0 : one.until);
-            if (may && (one == null || one.acting < index)) {
+            if (may && (one == null || Math.min(one.acting, one.followers) < index)) {
                 left.add(pooler);
             }
         }
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -26,6 +26,7 @@
 import lupinvalve.net.Pool;
 import lupinvalve.pg.PgBackend;
 import lupinvalve.pg.PgFront;
+import lupinvalve.replication.ControlPlane;
 import lupinvalve.replication.Group;
 import lupinvalve.upkeep.Drain;
 
@@ -79,9 +80,9 @@
         this(config, file, folder, null);
     }
 
-    /** Opens a member's folder and takes part in its group. */
+    /** Opens a member's or a subscriber's folder and takes part in its group. */
     interface Opening {
-        Group open(OperatorConfig.Store config) throws IOException;
+        ControlPlane open(OperatorConfig.Store config) throws IOException;
     }
 
     /** @param opening null for the program's own; no class of a group is touched where there is no store */
@@ -93,9 +94,9 @@
         if (operator.store() != null) {
             shared = new Shared(pooler, operator.store(), opening, this::adopted, this::held);
             operator = local.accepted(shared.document());
-            if (shared.group().fences()) {
-                pooler.fence(shared.group()::mayAct);
-                net.fence(shared.group()::mayAct);
+            if (shared.plane().fences()) {
+                pooler.fence(shared.plane()::mayAct);
+                net.fence(shared.plane()::mayAct);
             }
         }
         // Two fronts and two pools share the sockets that one of each would have.
@@ -353,14 +354,15 @@
         return mysqlListener == null ? null : mysqlListener.address();
     }
 
+    /** Where a member listens; null at a subscriber. */
     public InetSocketAddress storeAddress() {
-        return shared.group().address();
+        return shared.plane() instanceof Group group ? group.address() : null;
     }
 
     /** Reads keys and certificates anew; from any thread. Throws, and changes nothing, where they can't be used. */
     public void rekey() throws IOException {
         if (shared != null) {
-            shared.group().reload();
+            shared.plane().reload();
         }
     }
 
@@ -422,7 +424,7 @@
     /** Ends the part in the group; from any thread but the core's. */
     public void leaveGroup() {
         if (shared != null) {
-            shared.group().stop();
+            shared.plane().stop();
         }
     }
 
--- a/daemon/src/main/java/lupinvalve/cli/Shared.java
+++ b/daemon/src/main/java/lupinvalve/cli/Shared.java
@@ -13,9 +13,10 @@
 import lupinvalve.core.Directory;
 import lupinvalve.core.Pooler;
 import lupinvalve.ledger.Change;
-import lupinvalve.ledger.Encoding;
 import lupinvalve.ledger.Ledger;
+import lupinvalve.replication.ControlPlane;
 import lupinvalve.replication.Group;
+import lupinvalve.replication.Subscriber;
 import lupinvalve.replication.Tokens;
 import lupinvalve.upkeep.Maintenance.Orders;
 
@@ -24,7 +25,8 @@
     private static final long LOOK = 1_000_000, REFRESH = 10_000_000;
     private static final String BY = "group";
     private final Pooler pooler;
-    private final Group group;
+    private final ControlPlane plane;
+    private final ControlPlane.Known known;
     private final Tokens tokens;
     private final String name;
     private final Consumer<byte[]> adopted;
@@ -44,36 +46,38 @@
         this.adopted = adopted;
         this.held = held;
         name = config.name();
-        group = opening == null ? new Group(config) : opening.open(config);
-        tokens = new Tokens(pooler.loop(), group, config.waitMicros(), Encoding.commits(group.warm()));
+        plane = opening != null ? opening.open(config)
+                : config.role() == OperatorConfig.Role.SUBSCRIBER ? new Subscriber(config) : new Group(config);
+        known = plane.known();
+        tokens = new Tokens(pooler.loop(), plane, config.waitMicros(), known.commits());
         pooler.marks(tokens);
     }
 
-    Group group() {
-        return group;
+    ControlPlane plane() {
+        return plane;
     }
 
     /** The configuration accepted before this start, or null. */
     byte[] document() {
-        return group.warm().document() == null ? null : group.warm().document().content();
+        return known.document() == null ? null : known.document().content();
     }
 
     /** The db nodes that were known last, for a start before discovery answers. */
     List<Directory.Entry> entries() {
         List<Directory.Entry> entries = new ArrayList<>();
-        for (Change.Listed listed : group.warm().listing().nodes()) {
+        for (Change.Listed listed : known.nodes()) {
             entries.add(new Directory.Entry(listed.member(), listed.addresses()));
         }
         return entries;
     }
 
     void start() throws IOException {
-        group.start(this);
+        plane.start(this);
     }
 
     /** Begins to tell the group of the list; core thread, once the pooler has started. */
     void follow() {
-        for (Change.Listed listed : group.warm().listing().nodes()) {
+        for (Change.Listed listed : known.nodes()) {
             if (listed.position() != Routing.NO_POSITION) {
                 pooler.probed(listed.member().node(), Routing.Ending.SERVED, 0, listed.position(),
                         listed.member().listedPrimary() ? Routing.Role.PRIMARY : Routing.Role.REPLICA);
@@ -84,13 +88,13 @@
 
     /** The leader's pooler tells: one list for all is enough, and all poolers see the same db nodes. */
     private void look() {
-        List<Pooler.Known> known = pooler.known();
-        List<Routing.Member> members = known.stream().map(one -> one.entry().member()).toList();
+        List<Pooler.Known> nodes = pooler.known();
+        List<Routing.Member> members = nodes.stream().map(one -> one.entry().member()).toList();
         long now = pooler.loop().now();
-        if (group.leads() && !known.isEmpty() && (!members.equals(told) || now - toldAt > REFRESH)) {
+        if (plane.leads() && !nodes.isEmpty() && (!members.equals(told) || now - toldAt > REFRESH)) {
             told = members;
             toldAt = now;
-            group.listing(known.stream().map(one -> new Change.Listed(one.entry().member(), one.entry().addresses(),
+            plane.listing(nodes.stream().map(one -> new Change.Listed(one.entry().member(), one.entry().addresses(),
                     one.position())).toList());
         }
         pooler.loop().after(LOOK, this::look);
--- a/daemon/src/main/java/lupinvalve/cli/StoreCommand.java
+++ b/daemon/src/main/java/lupinvalve/cli/StoreCommand.java
@@ -81,7 +81,13 @@
             throw new IllegalArgumentException(operator + ": store is missing");
         }
         Map<String, String> members = new LinkedHashMap<>();
-        members.put(store.name(), store.listen());
+        boolean subscriber = store.role() == OperatorConfig.Role.SUBSCRIBER;
+        if (subscriber && call.equals("status")) {
+            throw new IllegalArgumentException(operator + ": " + store.name() + " is a subscriber and can't be asked; its log has it");
+        }
+        if (!subscriber) {
+            members.put(store.name(), store.listen());
+        }
         if (!call.equals("status")) {
             store.members().forEach(members::putIfAbsent);
         }
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/cli/SubscriberTest.java
@@ -0,0 +1,197 @@
+package lupinvalve.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.core.Loop;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.net.Net;
+import lupinvalve.replication.Client;
+import lupinvalve.replication.ControlPlane;
+import lupinvalve.replication.Group;
+import lupinvalve.replication.Messages;
+import lupinvalve.replication.Subscriber;
+import lupinvalve.stories.World;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Poolers that follow three members over real sockets, many on one loop as the laboratory has them. */
+class SubscriberTest {
+    private static final List<String> NAMES = List.of("a", "b", "c");
+    private static final int MANY = 40;
+    @TempDir
+    private Path folder;
+    private final Map<String, String> addresses = new TreeMap<>();
+    private final Map<String, Group> groups = new HashMap<>();
+    private final List<ControlPlane> subscribers = new ArrayList<>();
+    private final Map<String, Ledger.Document> acting = new ConcurrentHashMap<>();
+    private final Map<String, Map<Change.Holding, Ledger.Held>> holds = new ConcurrentHashMap<>();
+    private final Loop loop = new Loop("subscribers");
+    private final Net net = new Net(loop);
+
+    @AfterEach
+    void end() {
+        subscribers.forEach(ControlPlane::stop);
+        groups.values().forEach(Group::stop);
+        net.close();
+        loop.stop();
+    }
+
+    private Group.Pooler pooler(String name) {
+        return new Group.Pooler() {
+            @Override
+            public String objection(byte[] document) {
+                return OperatorConfig.objection(document);
+            }
+
+            @Override
+            public void adopt(Ledger.Document document) {
+                acting.put(name, document);
+            }
+
+            @Override
+            public void holds(Map<Change.Holding, Ledger.Held> now) {
+                holds.put(name, now);
+            }
+
+            @Override
+            public void commits(Change.Commits commits) {
+                // Positions are of no matter here.
+            }
+        };
+    }
+
+    private void members(OperatorConfig.Audit audit) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        for (String name : NAMES) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(socket);
+            addresses.put(name, "127.0.0.1:" + socket.getLocalPort());
+        }
+        for (ServerSocket socket : held) {
+            socket.close();
+        }
+        for (String name : NAMES) {
+            member(name, audit);
+        }
+        loop.start();
+    }
+
+    private void member(String name, OperatorConfig.Audit audit) throws IOException {
+        Group group = new Group(new OperatorConfig.Store("plant", name, folder.resolve(name), addresses.get(name), addresses, null, 0,
+                audit));
+        groups.put(name, group);
+        group.start(pooler(name));
+    }
+
+    private Subscriber subscriber(String name, OperatorConfig.Audit audit) throws IOException {
+        Subscriber subscriber = new Subscriber(OperatorConfig.Store.subscriber("plant", name, folder.resolve(name), addresses, null,
+                audit), loop, net, new lupinvalve.replication.FolderDisk(folder.resolve(name), true), name.hashCode());
+        subscribers.add(subscriber);
+        subscriber.start(pooler(name));
+        return subscriber;
+    }
+
+    private Client.Said ask(String call, String... words) {
+        List<byte[]> arguments = new ArrayList<>();
+        for (String word : words) {
+            arguments.add(word.getBytes(StandardCharsets.UTF_8));
+        }
+        try {
+            return new Client("plant", addresses, null).ask(call, arguments, false, 20_000);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void put(int revision, String user, String... more) {
+        List<String> words = new ArrayList<>(List.of(Integer.toString(revision), "{\"mysql\":{\"user\":\"" + user + "\"}}"));
+        words.addAll(List.of(more));
+        Client.Said said = ask("put", words.toArray(new String[0]));
+        assertEquals(Messages.Code.OK, said.code(), said.text());
+    }
+
+    private boolean allAt(List<Subscriber> all, long revision) {
+        return all.stream().allMatch(one -> one.actingRevision() == revision && one.mayAct());
+    }
+
+    private List<Subscriber> many(OperatorConfig.Audit audit) {
+        return IntStream.range(0, MANY).mapToObj(i -> {
+            try {
+                return subscriber("s" + i, audit);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).toList();
+    }
+
+    @Test
+    void manyFollowEachChangeByDifferencesAndAStrictOneWaitsForThem() throws Exception {
+        members(OperatorConfig.Audit.FENCE);
+        World.await("led", () -> groups.values().stream().anyMatch(Group::leads));
+        put(0, "one-of-a-name-that-is-as-long-as-a-difference");
+        List<Subscriber> all = many(OperatorConfig.Audit.FENCE);
+        World.await("all follow with a lease", () -> allAt(all, 1));
+        put(1, "two-of-a-name-that-is-as-long-as-a-difference", "strict");
+        assertTrue(all.stream().allMatch(one -> one.actingRevision() == 2 || !one.mayAct()), "by the time of a strict answer");
+        World.await("all act on it", () -> allAt(all, 2));
+        assertEquals(0, all.stream().filter(one -> one.traffic().differences() == 0).count());
+        Client.Said held = ask("hold", "node", "db-7", "disk", "strict");
+        assertEquals(Messages.Code.OK, held.code(), held.text());
+        World.await("held", () -> all.stream().allMatch(one -> one.mayAct()) && holds.get("s7").size() == 1);
+
+        // The member that leads goes: those that followed it come to others before their leases end, or soon after.
+        String leader = groups.entrySet().stream().filter(one -> one.getValue().leads()).findFirst().orElseThrow().getKey();
+        groups.remove(leader).stop();
+        World.await("led anew", () -> groups.values().stream().anyMatch(Group::leads));
+        put(2, "three");
+        World.await("all act on the next", () -> allAt(all, 3));
+
+        // Nobody of a group without a majority grants anything.
+        groups.remove(groups.keySet().iterator().next()).stop();
+        World.await("fenced", () -> all.stream().noneMatch(Subscriber::mayAct));
+        assertTrue(all.stream().allMatch(one -> one.actingRevision() == 3));
+    }
+
+    @Test
+    void aRestartActsOnWhatItKeptAndOneThatServesGoesOnWithoutMembers() throws Exception {
+        members(OperatorConfig.Audit.OFF);
+        World.await("led", () -> groups.values().stream().anyMatch(Group::leads));
+        put(0, "one");
+        Subscriber serves = subscriber("serves", OperatorConfig.Audit.OFF);
+        Subscriber fences = subscriber("fences", OperatorConfig.Audit.FENCE);
+        World.await("adopted", () -> serves.actingRevision() == 1 && fences.actingRevision() == 1);
+        assertTrue(serves.mayAct() && !fences.mayAct(), "members without audit grant no lease");
+        ask("hold", "node", "db-7", "disk");
+        World.await("held", () -> holds.getOrDefault("serves", Map.of()).size() == 1);
+        serves.stop();
+        groups.values().forEach(Group::stop);
+        groups.clear();
+        acting.clear();
+        holds.clear();
+        Subscriber again = subscriber("serves", OperatorConfig.Audit.OFF);
+        World.await("acts on what it kept", () -> again.actingRevision() == 1 && holds.getOrDefault("serves", Map.of()).size() == 1);
+        again.stop();
+        byte[] kept = Files.readAllBytes(folder.resolve("serves/followed"));
+        kept[kept.length / 2] ^= 4;
+        Files.write(folder.resolve("serves/followed"), kept);
+        Subscriber damaged = subscriber("serves", OperatorConfig.Audit.OFF);
+        assertEquals(null, damaged.known().document(), "what is damaged is not believed");
+    }
+}
--- a/group/src/main/java/lupinvalve/replication/Acting.java
+++ b/group/src/main/java/lupinvalve/replication/Acting.java
@@ -6,6 +6,7 @@
 import lupinvalve.audit.Entry;
 import lupinvalve.audit.Lease;
 import lupinvalve.audit.Leases;
+import lupinvalve.ledger.Cbor;
 import lupinvalve.ledger.Change;
 import lupinvalve.ledger.Identity;
 import lupinvalve.ledger.Ledger;
@@ -16,7 +17,7 @@
  * group's thread but for {@link #holds}.
  */
 final class Acting {
-    private static final long CONFIRM = 100_000, ANSWER = 1_000_000, DELIVER = 200_000;
+    private static final long CONFIRM = 100_000, ANSWER = 1_000_000, DELIVER = 200_000, UNTOLD = -1;
 
     /** What it needs of the member that it belongs to. */
     interface Member {
@@ -34,6 +35,15 @@
                 java.util.function.Consumer<Messages.Answer> then);
 
         void propose(Change change, java.util.function.Consumer<Boolean> accepted);
+
+        /** The last change that matters to poolers, as applied here. */
+        long changed();
+
+        /** Up to which change those act that follow this member by a lease of its own. */
+        long followersFloor();
+
+        /** This member may act until then; when that was granted, the leader had applied a change that matters to poolers. */
+        void right(long untilMicros, long leadersChanged);
     }
 
     private final Member member;
@@ -161,24 +171,37 @@
         }
         asked = now;
         if (leads) {
-            granted(grant(name, acting, member.objection()), now);
+            granted(grant(name, acting, member.objection(), member.followersFloor()), now, member.changed());
             return;
         }
         waiting = leader;
-        member.call(leader, "lease", List.of(bytes(name), bytes(Long.toString(acting)), bytes(member.objection())), ANSWER, answer -> {
+        member.call(leader, "lease", List.of(bytes(name), bytes(Long.toString(acting)), bytes(member.objection()),
+                bytes(Long.toString(member.followersFloor()))), ANSWER, answer -> {
             // One who leads no more may answer late; what it granted still counts from when it was asked.
             waiting = leader.equals(waiting) ? null : waiting;
             if (answer.code() == Messages.Code.OK) {
-                granted(new Leases.Granted(Long.parseLong(answer.text()), ""), now);
+                granted(new Leases.Granted(Long.parseLong(answer.text()), ""), now, leadersChanged(answer));
             } else if (answer.code() == Messages.Code.REFUSED) {
-                granted(new Leases.Granted(0, answer.text()), now);
+                granted(new Leases.Granted(0, answer.text()), now, UNTOLD);
             }
         });
     }
 
-    private void granted(Leases.Granted granted, long askedAt) {
+    /** A leader of an earlier version does not tell: then nothing can be granted to subscribers. */
+    private static long leadersChanged(Messages.Answer answer) {
+        try {
+            return answer.content().length == 0 ? UNTOLD : new Cbor.In(answer.content()).number();
+        } catch (IOException e) {
+            return UNTOLD;
+        }
+    }
+
+    private void granted(Leases.Granted granted, long askedAt, long leadersChanged) {
         if (granted.lengthMicros() > 0) {
             lease.granted(askedAt, granted.lengthMicros());
+            if (leadersChanged != UNTOLD) {
+                member.right(Lease.end(askedAt, granted.lengthMicros()), leadersChanged);
+            }
             shutOut = "";
         } else if (!granted.why().isEmpty()) {
             shutOut = granted.why();
@@ -189,13 +212,13 @@
      * The leader's answer to a request for a lease. Nothing is granted past what it could be sure of when a majority last confirmed
      * that it leads: a later leader counts its own wait from its election, which came after that.
      */
-    Leases.Granted grant(String pooler, long actsOn, String objection) {
+    Leases.Granted grant(String pooler, long actsOn, String objection, long followersFloor) {
         long now = clock();
         long left = leases == null ? 0 : confirmed + Lease.LENGTH - now;
         if (left <= 0) {
             return new Leases.Granted(0, "");
         }
-        Leases.Granted granted = leases.renew(pooler, actsOn, objection, now);
+        Leases.Granted granted = leases.renew(pooler, actsOn, objection, followersFloor, now);
         return granted.lengthMicros() == 0 ? granted : new Leases.Granted(Math.min(left, granted.lengthMicros()), "");
     }
 
--- /dev/null
+++ b/group/src/main/java/lupinvalve/replication/Followers.java
@@ -0,0 +1,145 @@
+package lupinvalve.replication;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.subscription.FollowAnswer;
+import lupinvalve.subscription.FollowRequest;
+import lupinvalve.subscription.FollowService;
+
+/** A member's subscribers: their requests wait here for news, for a bounded time. On the group's thread. */
+final class Followers {
+    /** The call that subscribers make. */
+    static final String CALL = "follow";
+    /** Subscribers at one member at most. */
+    static final int MOST = 1024;
+    /** Those that wait are answered in slices, so that a document is not sent to all in one moment. */
+    private static final int SLICE = 32;
+    private static final long SLICE_STEP = 1_000;
+
+    /** A request that waits. */
+    private record Waiting(long call, FollowRequest request, long sinceMicros, Consumer<Messages.Answer> answer) {}
+
+    private final Group group;
+    private final FollowService service;
+    private final Map<String, Waiting> waiting = new HashMap<>();
+    private long changed, calls, wholes, differences, bytes;
+
+    /** @param accepted up to where a majority has accepted changes, as far as is known before the start */
+    Followers(Group group, long accepted) {
+        this.group = group;
+        changed = accepted;
+        service = new FollowService(group.config().audit() == OperatorConfig.Audit.OFF
+                ? "store.audit is off at " + group.config().name() : "");
+        service.accepted(accepted, Acting.clock());
+    }
+
+    /** The last change that matters to poolers, as applied here or known as accepted. */
+    long changed() {
+        return changed;
+    }
+
+    long floor() {
+        return service.floor(Acting.clock());
+    }
+
+    void right(long untilMicros, long leadersChanged) {
+        service.right(untilMicros, leadersChanged, Acting.clock());
+    }
+
+    /** A change has been applied here. */
+    void applied(Ledger ledger, Change change, Ledger.Outcome outcome) {
+        boolean matters = change instanceof Change.Put || change instanceof Change.Hold || change instanceof Change.Release;
+        if (matters && outcome.result() == Ledger.Result.DONE) {
+            restored(ledger);
+        }
+        service.appliedTo(ledger.applied());
+    }
+
+    /** What holds has been taken from a snapshot, or has changed. */
+    void restored(Ledger ledger) {
+        changed = Math.max(changed, ledger.applied());
+        service.applied(ledger.document(), ledger.holds(), ledger.applied(), Acting.clock());
+        List<String> due = new ArrayList<>();
+        waiting.forEach((who, one) -> {
+            if (service.hasNews(one.request())) {
+                due.add(who);
+            }
+        });
+        for (int from = 0; from < due.size(); from += SLICE) {
+            List<String> slice = due.subList(from, Math.min(due.size(), from + SLICE));
+            group.loop().after(from / SLICE * SLICE_STEP, () -> slice.forEach(who -> answer(who, waiting.get(who))));
+        }
+    }
+
+    /** A subscriber asks. */
+    void call(String caller, Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
+        if (call.arguments().isEmpty()) {
+            throw new IOException(CALL + " lacks an argument");
+        }
+        FollowRequest request = FollowRequest.read(call.arguments().get(0));
+        calls++;
+        service.asked(caller);
+        Waiting one = new Waiting(call.id(), request, Acting.clock(), answer);
+        if (!waiting.containsKey(caller) && waiting.size() >= MOST) {
+            refuse(one, "too many follow this member");
+            return;
+        }
+        waiting.put(caller, one);
+        if (service.hasNews(request) || unfit() != null || service.mayBeLetIn(caller, request, Acting.clock())) {
+            answer(caller, one);
+        } else {
+            group.loop().after(FollowService.HOLD, () -> answer(caller, one));
+        }
+    }
+
+    /** Why a subscriber does better at another member, or null. */
+    private String unfit() {
+        if (group.replica() == null || group.ended() != null) {
+            return group.ended() != null ? "this member takes no part any more: " + group.ended() : "the group is not founded yet";
+        }
+        if (group.adoption().cutOff()) {
+            return "cut off from the majority";
+        }
+        return service.powerless(Acting.clock()) ? "this member has no lease itself" : null;
+    }
+
+    private static void refuse(Waiting one, String why) {
+        one.answer().accept(new Messages.Answer(one.call(), Messages.Code.AGAIN, why));
+    }
+
+    private void answer(String who, Waiting one) {
+        if (one == null || !waiting.remove(who, one)) {
+            return;
+        }
+        String unfit = unfit();
+        if (unfit != null) {
+            refuse(one, unfit);
+            return;
+        }
+        long now = Acting.clock();
+        FollowAnswer answer = service.answer(who, one.request(), now - one.sinceMicros(), now);
+        wholes += answer.news() instanceof FollowAnswer.News.Whole ? 1 : 0;
+        differences += answer.news() instanceof FollowAnswer.News.Differences ? 1 : 0;
+        byte[] content = answer.write();
+        bytes += content.length;
+        one.answer().accept(new Messages.Answer(one.call(), Messages.Code.OK, "", content));
+    }
+
+    /** Who follows, and sums since the start; bytes are those of answers. */
+    void status(JsonGenerator out) throws IOException {
+        out.writeNumberField("subscribers_waiting", waiting.size());
+        out.writeNumberField("subscribers_with_lease", service.holding(Acting.clock()));
+        out.writeNumberField("follow_calls", calls);
+        out.writeNumberField("follow_wholes", wholes);
+        out.writeNumberField("follow_differences", differences);
+        out.writeNumberField("follow_bytes", bytes);
+    }
+}
--- a/group/src/main/java/lupinvalve/replication/Group.java
+++ b/group/src/main/java/lupinvalve/replication/Group.java
@@ -97,6 +97,7 @@
     private final TakeOver takeOver;
     /** Null where the operator's file does not turn it on. */
     private final Acting acting;
+    private final Followers followers;
     private volatile boolean leading;
 
     /** Where a member meets the world. The program's own are these; a laboratory counts what goes through others. */
@@ -154,6 +155,7 @@
         takeOver = new TakeOver(OldStore.read(config.folder()));
         acting = config.audit() == OperatorConfig.Audit.OFF ? null
                 : new Acting(new Acts(), config.name(), config.audit() == OperatorConfig.Audit.FENCE, disk, loop.now());
+        followers = new Followers(this, warm.applied());
         adoption = new Adoption(loop.now());
         founding = new Founding(log.word(), config.members().keySet());
         peers = new Peers(net, loop, config.cluster(), config.name(), config.listen(), log.word(),
@@ -293,8 +295,8 @@
         }
 
         @Override
-        public void call(Messages.Call call, Consumer<Messages.Answer> answer) {
-            questions.call(call, answer);
+        public void call(String caller, Messages.Call call, Consumer<Messages.Answer> answer) {
+            questions.call(caller, call, answer);
         }
     }
 
@@ -332,6 +334,21 @@
                 Group.this.propose(change, accepted);
             }
         }
+
+        @Override
+        public long changed() {
+            return followers.changed();
+        }
+
+        @Override
+        public long followersFloor() {
+            return followers.floor();
+        }
+
+        @Override
+        public void right(long untilMicros, long leadersChanged) {
+            followers.right(untilMicros, leadersChanged);
+        }
     }
 
     /** Brings the own word to disk, then to the others; joins the group once there is one. */
@@ -365,6 +382,7 @@
                 // A node that has been left; the next one comes to it as well.
                 return;
             }
+            followers.applied(replica.ledger(), change, outcome);
             if (change instanceof Change.Put && outcome.result() == Ledger.Result.DONE) {
                 adopt(replica.ledger().document());
             } else if (change instanceof Change.Hold || change instanceof Change.Release) {
@@ -382,6 +400,7 @@
                 return;
             }
             Ledger ledger = replica.ledger();
+            followers.restored(ledger);
             if (ledger.document() != null) {
                 adopt(ledger.document());
             }
@@ -612,6 +631,10 @@
         return pooler;
     }
 
+    Followers followers() {
+        return followers;
+    }
+
     /** Null where it is off. */
     Acting acting() {
         return acting;
--- a/group/src/main/java/lupinvalve/replication/Messages.java
+++ b/group/src/main/java/lupinvalve/replication/Messages.java
@@ -75,15 +75,24 @@
         }
     }
 
-    /** What came of a call: a JSON text, or why not. */
-    public record Answer(long id, Code code, String text) {
+    /**
+     * What came of a call: a JSON text, or why not.
+     *
+     * @param content what is no text, or empty; programs of before version 0.3 neither send nor see it
+     */
+    public record Answer(long id, Code code, String text, byte[] content) {
+        public Answer(long id, Code code, String text) {
+            this(id, code, text, new byte[0]);
+        }
+
         byte[] write() {
-            return message(Kind.ANSWER, new Cbor.Out().number(id).number(code.ordinal()).text(text).done());
+            Cbor.Out out = new Cbor.Out().number(id).number(code.ordinal()).text(text);
+            return message(Kind.ANSWER, (content.length == 0 ? out : out.bytes(content)).done());
         }
 
         static Answer read(byte[] body) throws IOException {
             Cbor.In in = new Cbor.In(body);
-            return new Answer(in.number(), Code.values()[in.count(Code.values().length - 1)], in.text());
+            return new Answer(in.number(), Code.values()[in.count(Code.values().length - 1)], in.text(), in.bytesIfAny());
         }
     }
 
--- a/group/src/main/java/lupinvalve/replication/Peers.java
+++ b/group/src/main/java/lupinvalve/replication/Peers.java
@@ -26,8 +26,8 @@
 final class Peers implements Replica.Sending {
     private static final long RETRY = 300_000, RETRY_MOST = 3_000_000, BEAT = 500_000, SILENCE = 2_500_000,
             HELLO_WITHIN = 3_000_000;
-    /** Connections taken at most: members, and operators with their tools. */
-    private static final int TAKEN_MOST = 64;
+    /** Connections taken at most: members, operators with their tools, and subscribers. */
+    private static final int TAKEN_MOST = 64 + Followers.MOST;
     private static final int CALLS_MOST = 1000;
 
     /** Says who a connection's peer is by its certificate, or that it needs none; throws where it is not who it says. */
@@ -43,7 +43,8 @@
 
         void raft(byte[] message) throws IOException;
 
-        void call(Messages.Call call, java.util.function.Consumer<Messages.Answer> answer);
+        /** @param caller the name that it has shown to be its own */
+        void call(String caller, Messages.Call call, java.util.function.Consumer<Messages.Answer> answer);
     }
 
     private final Net net;
@@ -192,7 +193,8 @@
         final Dial dial;
         final Map<Long, java.util.function.Consumer<Messages.Answer>> calls = new HashMap<>();
         private Identity who;
-        private boolean greeted, over;
+        private String caller = "";
+        private boolean greeted, over, follows;
         private Deadlines.Deadline silence, beat;
 
         Conn(Link link, Dial dial) {
@@ -216,7 +218,10 @@
 
         private void beat() {
             beat = loop.after(BEAT, () -> {
-                link.write(Messages.message(Messages.Kind.BEAT, new byte[0]));
+                // A subscriber hears something each time that it asks.
+                if (!follows) {
+                    link.write(Messages.message(Messages.Kind.BEAT, new byte[0]));
+                }
                 beat();
             });
         }
@@ -247,11 +252,15 @@
                     }
                     heard.raft(body);
                 }
-                case CALL -> heard.call(Messages.Call.read(body), answer -> {
-                    if (!over) {
-                        link.write(answer.write());
-                    }
-                });
+                case CALL -> {
+                    Messages.Call call = Messages.Call.read(body);
+                    follows |= call.name().equals(Followers.CALL);
+                    heard.call(caller, call, answer -> {
+                        if (!over) {
+                            link.write(answer.write());
+                        }
+                    });
+                }
                 case ANSWER -> answered(Messages.Answer.read(body));
                 default -> {
                     // A beat.
@@ -275,6 +284,7 @@
                 hello();
             }
             greeted = true;
+            caller = hello.name();
             if (!member) {
                 return;
             }
--- a/group/src/main/java/lupinvalve/replication/Questions.java
+++ b/group/src/main/java/lupinvalve/replication/Questions.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import lupinvalve.audit.Leases;
+import lupinvalve.ledger.Cbor;
 import lupinvalve.ledger.Change;
 import lupinvalve.ledger.Encoding;
 import lupinvalve.ledger.Founding;
@@ -39,9 +40,11 @@
         return new String(call.arguments().get(at), StandardCharsets.UTF_8);
     }
 
-    void call(Messages.Call call, Consumer<Messages.Answer> answer) {
+    void call(String caller, Messages.Call call, Consumer<Messages.Answer> answer) {
         try {
-            if (call.name().equals("status")) {
+            if (call.name().equals(Followers.CALL)) {
+                group.followers().call(caller, call, answer);
+            } else if (call.name().equals("status")) {
                 status(text -> answer.accept(new Messages.Answer(call.id(), Messages.Code.OK, text)));
             } else if (group.replica() == null || group.ended() != null) {
                 answer.accept(new Messages.Answer(call.id(), Messages.Code.AGAIN, group.ended() != null
@@ -55,7 +58,7 @@
                 group.peers().call(group.leader(), call.name().equals("propose") ? "propose" : ">" + call.name(), call.arguments(),
                         call.name().equals("add") || call.name().equals("remove") ? MEMBERS_WITHIN + FORWARDED
                                 : FORWARDED + STRICT_WITHIN,
-                        got -> answer.accept(new Messages.Answer(call.id(), got.code(), got.text())));
+                        got -> answer.accept(new Messages.Answer(call.id(), got.code(), got.text(), got.content())));
             }
         } catch (IOException | IllegalArgumentException e) {
             answer.accept(new Messages.Answer(call.id(), Messages.Code.REFUSED, String.valueOf(e.getMessage())));
@@ -151,12 +154,14 @@
 
     /** Another member asks for a lease, or this one's own operator sees why there is none. */
     private void lease(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
+        // A member of an earlier version has no subscribers.
+        long followersFloor = call.arguments().size() > 3 ? Long.parseLong(argument(call, 3)) : Long.MAX_VALUE;
         Leases.Granted granted = group.acting() == null ? new Leases.Granted(0, "audit is off at the leader")
-                : group.acting().grant(argument(call, 0), Long.parseLong(argument(call, 1)), argument(call, 2));
+                : group.acting().grant(argument(call, 0), Long.parseLong(argument(call, 1)), argument(call, 2), followersFloor);
         Messages.Code code = granted.lengthMicros() > 0 ? Messages.Code.OK
                 : granted.why().isEmpty() ? Messages.Code.AGAIN : Messages.Code.REFUSED;
         answer.accept(new Messages.Answer(call.id(), code, granted.lengthMicros() > 0 ? Long.toString(granted.lengthMicros())
-                : granted.why()));
+                : granted.why(), new Cbor.Out().number(group.followers().changed()).done()));
     }
 
     private void audit(Messages.Call call, Consumer<Messages.Answer> answer) throws IOException {
@@ -377,6 +382,7 @@
             out.writeNumberField("lease_ms", group.acting().leaseMicros() / 1000);
             out.writeStringField("shut_out", group.acting().shutOut());
         }
+        group.followers().status(out);
         out.writeNumberField("sessions", ledger.sessionCount());
         out.writeNumberField("holds", ledger.holds().size());
         out.writeNumberField("listed_nodes", ledger.listing().nodes().size());
--- a/group/src/main/java/lupinvalve/replication/Subscriber.java
+++ b/group/src/main/java/lupinvalve/replication/Subscriber.java
@@ -1,24 +1,56 @@
 package lupinvalve.replication;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import lupinvalve.config.OperatorConfig;
 import lupinvalve.core.Loop;
 import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.log.Log;
+import lupinvalve.net.Addresses;
 import lupinvalve.net.Net;
+import lupinvalve.subscription.FollowAnswer;
+import lupinvalve.subscription.FollowSchedule;
+import lupinvalve.subscription.FollowState;
 
 /**
  * Follows the group's configuration and holds from one member at a time, without being a member. Hundreds of them may share one loop
  * and one {@link Net} in a process; the daemon's has its own.
  */
 public final class Subscriber implements ControlPlane {
+    private static final long TICK = 1_000_000;
+    /** Before the whole is asked for where differences came to something else. */
+    private static final int WRONG_MILLIS = 200;
+
     private final OperatorConfig.Store config;
     private final Loop loop;
     private final Net net;
+    private final Tls tls;
+    private final Disk disk;
+    private final boolean own;
+    private final FollowState.Kept kept;
+    private final FollowState state;
+    private final FollowSchedule schedule;
+    private final AtomicBoolean ending = new AtomicBoolean();
+    private final AtomicLong bytesOut = new AtomicLong();
+    private final AtomicLong bytesIn = new AtomicLong();
+    private Group.Pooler pooler;
+    private FollowLink link;
+    /** To the first member, tried beside the one that is followed. */
+    private FollowLink candidate;
+    private boolean stopped;
+    private String said = "";
+    private volatile Ledger.Document acting;
+    private volatile long calls, wholes, differences, moves, acted;
 
     /** The daemon's: with a thread and connections of its own. Throws with one line that says what is wrong with the folder. */
     public Subscriber(OperatorConfig.Store config) throws IOException {
-        this(config, new Loop("store"), null, new FolderDisk(config.folder(), true), System.nanoTime());
+        this(config, new Loop("store"), null, new FolderDisk(config.folder(), true), System.nanoTime(), true);
     }
 
     /**
@@ -27,41 +59,268 @@
      * @param loop runs it; not started or stopped here
      * @param net carries its connections, on the same loop; not closed here
      * @param disk keeps the last accepted document; closed by {@link #stop}
-     * @param seed of its pauses and of its order of members
+     * @param seed of its pauses
      */
     public Subscriber(OperatorConfig.Store config, Loop loop, Net net, Disk disk, long seed) throws IOException {
+        this(config, loop, net, disk, seed, false);
+    }
+
+    private Subscriber(OperatorConfig.Store config, Loop loop, Net net, Disk disk, long seed, boolean own) throws IOException {
         this.config = config;
         this.loop = loop;
-        this.net = net;
+        this.disk = disk;
+        this.own = own;
+        try {
+            tls = config.tls() == null ? null : new Tls(config.tls());
+            unsecured(config);
+        } catch (IOException e) {
+            disk.close();
+            throw e;
+        }
+        this.net = own ? new Net(loop, false, tls) : net;
+        kept = kept();
+        state = new FollowState(config.audit() != OperatorConfig.Audit.OFF, kept, Acting.clock());
+        schedule = new FollowSchedule(config.name(), config.members().keySet(), seed);
+    }
+
+    private static void unsecured(OperatorConfig.Store config) throws IOException {
+        for (String address : config.tls() != null ? List.<String>of() : config.members().values()) {
+            InetAddress host = Addresses.parse(address).getAddress();
+            if (host == null || !host.isLoopbackAddress()) {
+                throw new IOException("store.tls is missing: " + address + " is not on loopback");
+            }
+        }
+    }
+
+    /** A file that is not what was written is not believed: members tell all anew. */
+    private FollowState.Kept kept() {
+        try {
+            return KeptDocument.read(disk, config.cluster());
+        } catch (IOException e) {
+            Log.warn("store: %s: %s; what holds is asked for anew", config.folder(), e.getMessage());
+            return FollowState.Kept.NOTHING;
+        }
     }
 
     @Override
     public Known known() {
-        return null;
+        return new Known(kept.document(), List.of(), new Change.Commits(0, java.util.Map.of()));
     }
 
     @Override
-    public void start(Group.Pooler beside) throws IOException {
+    public void start(Group.Pooler beside) {
+        pooler = beside;
+        if (own) {
+            loop.start();
+        }
+        loop.post(() -> {
+            Ledger.Document document = state.begin(pooler::objection);
+            if (document != null) {
+                adopt(document);
+            }
+            pooler.holds(state.holds());
+            connect(0);
+            tick();
+        });
+    }
+
+    // ---- connections ----
+
+    private final FollowLink.Heard hearing = new FollowLink.Heard() {
+        @Override
+        public void greeted(FollowLink which) {
+            if (which == candidate) {
+                schedule.home(true, Acting.clock());
+                link.drop();
+                link = candidate;
+                candidate = null;
+                moves++;
+            }
+            say("follows " + which.member());
+            ask();
+        }
+
+        @Override
+        public void over(FollowLink which, String why) {
+            if (which == candidate) {
+                candidate = null;
+                schedule.home(false, Acting.clock());
+            } else {
+                move(which.member() + ": " + why);
+            }
+        }
+
+        @Override
+        public void moved(long out, long in) {
+            bytesOut.addAndGet(out);
+            bytesIn.addAndGet(in);
+        }
+    };
+
+    private FollowLink to(String member) {
+        FollowLink next = new FollowLink(loop, new FollowLink.Way(config.cluster(), config.name(), member,
+                config.members().get(member), tls != null), hearing);
+        next.dial(net, schedule.greetingWithin());
+        return next;
+    }
+
+    private void connect(long afterMicros) {
+        loop.after(afterMicros, () -> {
+            if (!stopped) {
+                link = to(schedule.member());
+            }
+        });
+    }
+
+    /** Leaves the member for the next. */
+    private void move(String why) {
+        if (stopped) {
+            return;
+        }
+        say("can't follow " + why);
+        link.drop();
+        moves++;
+        connect(schedule.failed(Acting.clock()));
+    }
+
+    /** Once for each that differs from the last. */
+    private void say(String line) {
+        if (!line.equals(said)) {
+            said = line;
+            Log.info("store: %s %s", config.name(), line);
+        }
+    }
+
+    private void tick() {
+        if (stopped) {
+            return;
+        }
+        boolean greeted = link != null && link.greeted();
+        String line = state.adoption().touch(greeted && link.asks(), Acting.clock());
+        if (line != null) {
+            Log.warn("store: %s %s", config.name(), line);
+        }
+        if (greeted && !link.asks()) {
+            link.beat();
+        }
+        if (greeted && candidate == null && schedule.homeDue(Acting.clock())) {
+            candidate = to(schedule.first());
+        }
+        loop.after(TICK, this::tick);
+    }
+
+    // ---- following ----
+
+    private void ask() {
+        if (stopped || !link.greeted() || link.asks()) {
+            return;
+        }
+        calls++;
+        long asked = Acting.clock();
+        FollowLink by = link;
+        // The first answer, and one that is the whole anew, may be long.
+        long within = state.acting() == 0 || state.request().whole() ? FollowSchedule.WHOLE : FollowSchedule.ANSWER;
+        by.ask(state.request().write(), within, answer -> answered(by, answer, asked));
+    }
+
+    private void answered(FollowLink by, Messages.Answer answer, long asked) {
+        if (by != link) {
+            return;
+        }
+        if (answer.code() != Messages.Code.OK) {
+            move(by.member() + ": " + answer.text());
+            return;
+        }
+        try {
+            heard(FollowAnswer.read(answer.content()), asked);
+        } catch (IOException | IllegalArgumentException e) {
+            move(by.member() + ": " + e.getMessage());
+        }
+    }
+
+    private void heard(FollowAnswer answer, long asked) {
+        wholes += answer.news() instanceof FollowAnswer.News.Whole ? 1 : 0;
+        differences += answer.news() instanceof FollowAnswer.News.Differences all ? all.steps().size() : 0;
+        FollowState.Heard news = state.heard(answer, asked, Acting.clock(), pooler::objection);
+        if (!news.wrong().isEmpty()) {
+            Log.warn("store: %s: %s; the whole is asked for", config.name(), news.wrong());
+        }
+        if (news.adopt() != null || news.holds() != null) {
+            keep();
+        }
+        if (news.adopt() != null) {
+            adopt(news.adopt());
+        } else if (!state.adoption().unreadable().isEmpty()) {
+            say("serves on, " + state.adoption().acting());
+        }
+        if (news.holds() != null) {
+            pooler.holds(news.holds());
+        }
+        if (!state.shutOut().isEmpty()) {
+            say("has no lease: " + state.shutOut());
+        }
+        if (answer.leaseMicros() > 0 && answer.leaseMicros() < FollowSchedule.MOVE_BELOW) {
+            move(link.member() + ": it is losing its own lease");
+            return;
+        }
+        schedule.answered();
+        int pause = news.wrong().isEmpty() ? answer.comeBackMillis() : WRONG_MILLIS;
+        long upTo = state.heardUpTo();
+        pooler.reached(() -> loop.post(() -> {
+            state.acted(upTo);
+            acted = state.acting();
+            loop.after(pause * 1_000L, this::ask);
+        }));
+    }
+
+    private void adopt(Ledger.Document document) {
+        Log.info("store: %s adopted revision %s, change %s, digest %s", config.name(), document.revision(), document.index(),
+                document.digest());
+        pooler.adopt(document);
+        pooler.reached(() -> acting = document);
+    }
+
+    /** Where the disk fails it goes on all the same: members hold what a restart would miss. */
+    private void keep() {
+        try {
+            KeptDocument.write(disk, config.cluster(), state.kept());
+        } catch (IOException e) {
+            Log.error("store: %s can't keep the document for a restart: %s", config.name(), e.getMessage());
+        }
     }
 
+    // ---- from any thread ----
+
     @Override
     public boolean mayAct() {
-        return false;
+        return !fences() || state.holds(Acting.clock());
+    }
+
+    @Override
+    public boolean fences() {
+        return config.audit() == OperatorConfig.Audit.FENCE;
+    }
+
+    /** How long it may act yet, by the last lease; 0 without one. */
+    public long leaseMicros() {
+        return Math.max(0, state.until() - Acting.clock());
     }
 
-    /** Which revision the pooler beside acts on, 0 for none; from any thread. */
+    /** Which revision the pooler beside acts on, 0 for none. */
     public long actingRevision() {
-        return 0;
+        Ledger.Document now = acting;
+        return now == null ? 0 : now.revision();
     }
 
-    /** The digest of what it acts on, empty for none; from any thread. */
+    /** The digest of what it acts on, empty for none. */
     public String actingDigest() {
-        return "";
+        Ledger.Document now = acting;
+        return now == null ? "" : now.digest();
     }
 
-    /** What has gone over its connections; from any thread. */
-    public Traffic traffic() {
-        return new Traffic(0, 0, 0, 0, 0, 0);
+    /** Up to which change of the agreed history it acts, as it last said. */
+    public long actingChange() {
+        return acted;
     }
 
     /**
@@ -74,9 +333,9 @@
      */
     public record Traffic(long bytesOut, long bytesIn, long calls, long wholes, long differences, long moves) {}
 
-    @Override
-    public boolean fences() {
-        return config.audit() == OperatorConfig.Audit.FENCE;
+    /** What has gone over its connections, without what TLS adds. */
+    public Traffic traffic() {
+        return new Traffic(bytesOut.get(), bytesIn.get(), calls, wholes, differences, moves);
     }
 
     @Override
@@ -84,6 +343,7 @@
         return false;
     }
 
+    /** Members hear nothing of sessions here: sessions that stay at one pooler need nothing else. */
     @Override
     public void committed(String session, long position, Runnable then) {
         if (then != null) {
@@ -98,9 +358,46 @@
 
     @Override
     public void reload() throws IOException {
+        if (tls != null) {
+            tls.reload();
+            if (own) {
+                net.secureAnew();
+            }
+            Log.info("store: keys and certificates read anew");
+        }
     }
 
     @Override
     public void stop() {
+        if (ending.getAndSet(true)) {
+            return;
+        }
+        CountDownLatch done = new CountDownLatch(1);
+        loop.post(() -> {
+            stopped = true;
+            if (link != null) {
+                link.drop();
+            }
+            if (candidate != null) {
+                candidate.drop();
+            }
+            try {
+                disk.close();
+            } catch (IOException e) {
+                Log.warn("store: %s", e.getMessage());
+            }
+            done.countDown();
+        });
+        try {
+            if (!done.await(3, TimeUnit.SECONDS)) {
+                Log.warn("store: the end took too long");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (own) {
+            net.close();
+            loop.stop();
+        }
     }
 }
--- a/group/src/main/java/lupinvalve/replication/Tokens.java
+++ b/group/src/main/java/lupinvalve/replication/Tokens.java
@@ -12,12 +12,12 @@
  */
 public final class Tokens implements Marks {
     private final Loop loop;
-    private final Group group;
+    private final ControlPlane group;
     private final long waitMicros;
     private final Sessions sessions = new Sessions();
 
     /** @param known what was accepted before this start */
-    public Tokens(Loop loop, Group group, long waitMicros, Change.Commits known) {
+    public Tokens(Loop loop, ControlPlane group, long waitMicros, Change.Commits known) {
         this.loop = loop;
         this.group = group;
         this.waitMicros = waitMicros;
--- a/ledger/src/main/java/lupinvalve/ledger/Cbor.java
+++ b/ledger/src/main/java/lupinvalve/ledger/Cbor.java
@@ -109,6 +109,15 @@
             return token == JsonToken.VALUE_TRUE;
         }
 
+        /** Bytes, or none where all has been read. */
+        public byte[] bytesIfAny() throws IOException {
+            JsonToken token = from.nextToken();
+            if (token != null && token != JsonToken.VALUE_EMBEDDED_OBJECT) {
+                throw new IOException("CBOR: " + token + " in place of bytes or the end");
+            }
+            return token == null ? new byte[0] : from.getBinaryValue();
+        }
+
         /** Whether all has been read. */
         public boolean ended() throws IOException {
             return from.nextToken() == null;
