--- a/group/src/main/java/lupinvalve/replication/Acting.java
+++ b/group/src/main/java/lupinvalve/replication/Acting.java
@@ -229,9 +229,12 @@
         }
     }
 
-    /** The leader's: who must be waited for before a change is done; null where it leads no more. */
+    /**
+     * The leader's: who must be waited for before a change is done; null where it leads no more. A lease counts as ended only where it had
+     * when a majority last confirmed that this member leads: one that has stood still does not know what others have granted since.
+     */
     List<String> waitedFor(long index, List<String> poolers) {
-        return leases == null ? null : leases.waitedFor(index, poolers, clock());
+        return leases == null ? null : leases.waitedFor(index, poolers, confirmed);
     }
 
     /** The leader's: who may not act, with reasons. */
--- a/group/src/main/java/lupinvalve/replication/Followers.java
+++ b/group/src/main/java/lupinvalve/replication/Followers.java
@@ -37,7 +37,7 @@
         this.group = group;
         changed = accepted;
         service = new FollowService(group.config().audit() == OperatorConfig.Audit.OFF
-                ? "store.audit is off at " + group.config().name() : "");
+                ? "store.audit is off at " + group.config().name() : "", Acting.clock());
         service.accepted(accepted, Acting.clock());
     }
 
--- a/subscription/src/main/java/lupinvalve/subscription/FollowService.java
+++ b/subscription/src/main/java/lupinvalve/subscription/FollowService.java
@@ -13,14 +13,15 @@
     private final boolean leases;
     private final String noLeases;
     private final RevisionHistory history = new RevisionHistory();
-    private final SubscriberTable table = new SubscriberTable();
+    private final SubscriberTable table;
     private final WholeDocuments wholes = new WholeDocuments();
     private Map<Change.Holding, Ledger.Held> holds = Map.of();
     private String holdsDigest = FollowAnswer.digest(Map.of());
     private long applied;
 
     /** @param noLeases why this member grants none, or empty where it does */
-    public FollowService(String noLeases) {
+    public FollowService(String noLeases, long nowMicros) {
+        table = new SubscriberTable(nowMicros);
         leases = noLeases.isEmpty();
         this.noLeases = noLeases;
     }
--- a/subscription/src/main/java/lupinvalve/subscription/SubscriberTable.java
+++ b/subscription/src/main/java/lupinvalve/subscription/SubscriberTable.java
@@ -26,8 +26,14 @@
 
     private final Map<String, Held> held = new HashMap<>();
     private final ArrayDeque<Known> known = new ArrayDeque<>();
+    private final long earlierLifeUntil;
     private long newest, wanted, rightUntil = Long.MIN_VALUE;
 
+    /** @param nowMicros the start: leases that this member granted before it are not known here, and may last for a while */
+    public SubscriberTable(long nowMicros) {
+        earlierLifeUntil = nowMicros + (long) (Lease.LENGTH * (1 + Lease.DRIFT));
+    }
+
     /** There is a change that subscribers must act on: applied here, or told of by the leader. */
     public void known(long index, long nowMicros) {
         if (index > newest) {
@@ -93,12 +99,13 @@
 
     /**
      * Up to which change all act that may act by a lease of this member's, itself not counted: a strict change beyond it is not done.
+     * Nothing is known of it until the leases have ended that were granted before this member's start.
      *
      * @param applied what the member has applied itself: whoever comes later must act on that
      */
     public long floor(long applied, long nowMicros) {
         held.values().removeIf(one -> nowMicros >= one.until);
-        long floor = applied;
+        long floor = nowMicros < earlierLifeUntil ? 0 : applied;
         for (Held one : held.values()) {
             floor = Math.min(floor, one.acting);
         }
