Say in a subscriber's log when its right to act ends and returns; don't wait for a pooler for good

A subscriber asks again 1 s after an answer though its pooler has not acted on it yet: the member must not take it for gone, and one whose pooler never calls back must not stay silent for good. Without a lease it waits 3 s for an answer, as a whole document may be on its way on a busy machine.

--- a/group/src/main/java/lupinvalve/replication/FollowLink.java
+++ b/group/src/main/java/lupinvalve/replication/FollowLink.java
@@ -69,11 +69,6 @@
         deadline = loop.after(withinMicros, () -> end("no answer in time"));
     }
 
-    /** Says that this one is still there. */
-    void beat() {
-        write(Messages.message(Messages.Kind.BEAT, new byte[0]));
-    }
-
     private void write(byte[] message) {
         heard.moved(message.length, 0);
         link.write(message);
--- a/group/src/main/java/lupinvalve/replication/Subscriber.java
+++ b/group/src/main/java/lupinvalve/replication/Subscriber.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import lupinvalve.config.OperatorConfig;
+import lupinvalve.core.Deadlines;
 import lupinvalve.core.Loop;
 import lupinvalve.ledger.Change;
 import lupinvalve.ledger.Ledger;
@@ -24,6 +25,8 @@
  */
 public final class Subscriber implements ControlPlane {
     private static final long TICK = 1_000_000;
+    /** Between an answer and the next call; a member ends what is silent for 2.5 s. */
+    private static final long IDLE_MOST = 1_000_000;
     /** Before the whole is asked for where differences came to something else. */
     private static final int WRONG_MILLIS = 200;
 
@@ -43,7 +46,9 @@
     private FollowLink link;
     /** To the first member, tried beside the one that is followed. */
     private FollowLink candidate;
-    private boolean stopped;
+    private boolean stopped, fenced;
+    private long idleSince;
+    private Deadlines.Deadline leaseEnd;
     private String said = "";
     private volatile Ledger.Document acting;
     private volatile long calls, wholes, differences, moves, acted;
@@ -119,6 +124,7 @@
                 adopt(document);
             }
             pooler.holds(state.holds());
+            look();
             connect(0);
             tick();
         });
@@ -200,8 +206,9 @@
         if (line != null) {
             Log.warn("store: %s %s", config.name(), line);
         }
-        if (greeted && !link.asks()) {
-            link.beat();
+        if (greeted && !link.asks() && Acting.clock() - idleSince > IDLE_MOST) {
+            // The pooler takes long to act on what it was told: the member hears that this one is there, and what it acts on.
+            ask();
         }
         if (greeted && candidate == null && schedule.homeDue(Acting.clock())) {
             candidate = to(schedule.first());
@@ -218,8 +225,8 @@
         calls++;
         long asked = Acting.clock();
         FollowLink by = link;
-        // The first answer, and one that is the whole anew, may be long.
-        long within = state.acting() == 0 || state.request().whole() ? FollowSchedule.WHOLE : FollowSchedule.ANSWER;
+        // One without a lease has nothing to lose by waiting, and a whole document may be on its way.
+        long within = state.holds(asked) && !state.request().whole() ? FollowSchedule.ANSWER : FollowSchedule.WHOLE;
         by.ask(state.request().write(), within, answer -> answered(by, answer, asked));
     }
 
@@ -239,9 +246,11 @@
     }
 
     private void heard(FollowAnswer answer, long asked) {
+        idleSince = Acting.clock();
         wholes += answer.news() instanceof FollowAnswer.News.Whole ? 1 : 0;
         differences += answer.news() instanceof FollowAnswer.News.Differences all ? all.steps().size() : 0;
         FollowState.Heard news = state.heard(answer, asked, Acting.clock(), pooler::objection);
+        look();
         if (!news.wrong().isEmpty()) {
             Log.warn("store: %s: %s; the whole is asked for", config.name(), news.wrong());
         }
@@ -273,6 +282,21 @@
         }));
     }
 
+    /** Says when the right to act ends, and when it is there again. */
+    private void look() {
+        if (!fences()) {
+            return;
+        }
+        long left = state.until() - Acting.clock();
+        if (fenced == left > 0) {
+            fenced = left <= 0;
+            Log.info("store: %s: %s", config.name(), fenced ? "fenced" + (state.shutOut().isEmpty() ? "" : ": " + state.shutOut())
+                    : "returned");
+        }
+        loop.drop(leaseEnd);
+        leaseEnd = left > 0 ? loop.after(left, this::look) : null;
+    }
+
     private void adopt(Ledger.Document document) {
         Log.info("store: %s adopted revision %s, change %s, digest %s", config.name(), document.revision(), document.index(),
                 document.digest());
