--- a/group/src/main/java/lupinvalve/replication/Subscriber.java
+++ b/group/src/main/java/lupinvalve/replication/Subscriber.java
@@ -36,6 +36,8 @@
     private final Tls tls;
     private final Disk disk;
     private final boolean own;
+    /** What its lines in the log begin with: its name too where there are many. */
+    private final String of;
     private final FollowState.Kept kept;
     private final FollowState state;
     private final FollowSchedule schedule;
@@ -75,6 +77,7 @@
         this.loop = loop;
         this.disk = disk;
         this.own = own;
+        of = own ? "store" : "store: " + config.name();
         try {
             tls = config.tls() == null ? null : new Tls(config.tls());
             unsecured(config);
@@ -193,7 +196,7 @@
     private void say(String line) {
         if (!line.equals(said)) {
             said = line;
-            Log.info("store: %s %s", config.name(), line);
+            Log.info("%s: %s", of, line);
         }
     }
 
@@ -204,7 +207,7 @@
         boolean greeted = link != null && link.greeted();
         String line = state.adoption().touch(greeted && link.asks(), Acting.clock());
         if (line != null) {
-            Log.warn("store: %s %s", config.name(), line);
+            Log.warn("%s: %s", of, line);
         }
         if (greeted && !link.asks() && Acting.clock() - idleSince > IDLE_MOST) {
             // The pooler takes long to act on what it was told: the member hears that this one is there, and what it acts on.
@@ -252,7 +255,7 @@
         FollowState.Heard news = state.heard(answer, asked, Acting.clock(), pooler::objection);
         look();
         if (!news.wrong().isEmpty()) {
-            Log.warn("store: %s: %s; the whole is asked for", config.name(), news.wrong());
+            Log.warn("%s: %s; the whole is asked for", of, news.wrong());
         }
         if (news.adopt() != null || news.holds() != null) {
             keep();
@@ -290,7 +293,7 @@
         long left = state.until() - Acting.clock();
         if (fenced == left > 0) {
             fenced = left <= 0;
-            Log.info("store: %s: %s", config.name(), fenced ? "fenced" + (state.shutOut().isEmpty() ? "" : ": " + state.shutOut())
+            Log.info("%s: %s", of, fenced ? "fenced" + (state.shutOut().isEmpty() ? "" : ": " + state.shutOut())
                     : "returned");
         }
         loop.drop(leaseEnd);
@@ -298,8 +301,7 @@
     }
 
     private void adopt(Ledger.Document document) {
-        Log.info("store: %s adopted revision %s, change %s, digest %s", config.name(), document.revision(), document.index(),
-                document.digest());
+        Log.info("%s: adopted revision %s, change %s, digest %s", of, document.revision(), document.index(), document.digest());
         pooler.adopt(document);
         pooler.reached(() -> acting = document);
     }
@@ -309,7 +311,7 @@
         try {
             KeptDocument.write(disk, config.cluster(), state.kept());
         } catch (IOException e) {
-            Log.error("store: %s can't keep the document for a restart: %s", config.name(), e.getMessage());
+            Log.error("%s: can't keep the document for a restart: %s", of, e.getMessage());
         }
     }
 
