--- a/daemon/src/test/java/lupinvalve/cli/OffOnThePlatformTest.java
+++ b/daemon/src/test/java/lupinvalve/cli/OffOnThePlatformTest.java
@@ -27,7 +27,7 @@
         List<String> lines = Files.readAllLines(loaded);
         assertTrue(lines.stream().anyMatch(line -> line.contains("lupinvalve.core.Pooler ")));
         assertEquals(List.of(), lines.stream().filter(line -> line.contains("lupinvalve.replication")
-                || line.contains("lupinvalve.ledger") || line.contains("lupinvalve.audit")
+                || line.contains("lupinvalve.subscription") || line.contains("lupinvalve.ledger") || line.contains("lupinvalve.audit")
                 || line.contains("io.microraft") || line.contains("dataformat.cbor")
                 || line.contains("mina.filter.ssl")).toList());
     }
--- a/daemon/src/test/java/lupinvalve/stories/ExampleFolderTest.java
+++ b/daemon/src/test/java/lupinvalve/stories/ExampleFolderTest.java
@@ -91,6 +91,9 @@
     void the_operators_files_can_be_read() throws Exception {
         OperatorConfig deployed = OperatorConfig.read(Files.readAllBytes(Path.of("deploy/operator.json")));
         assertNotNull(deployed.dnsSd());
+        OperatorConfig follows = OperatorConfig.read(Files.readAllBytes(Path.of("deploy/operator-subscriber.json")));
+        assertEquals(OperatorConfig.Role.SUBSCRIBER, follows.store().role());
+        assertNull(follows.store().listen());
         OperatorConfig example = OperatorConfig.read(Files.readAllBytes(Path.of("example/operator.json")));
         assertEquals(1, example.store().members().size());
         OperatorConfig accepted = example.accepted(Files.readAllBytes(Path.of("example/shared.json")));
--- a/group/src/main/java/lupinvalve/replication/Messages.java
+++ b/group/src/main/java/lupinvalve/replication/Messages.java
@@ -78,7 +78,7 @@
     /**
      * What came of a call: a JSON text, or why not.
      *
-     * @param content what is no text, or empty; programs of before version 0.3 neither send nor see it
+     * @param content what is no text, or empty; programs of before subscriptions neither send nor see it
      */
     public record Answer(long id, Code code, String text, byte[] content) {
         public Answer(long id, Code code, String text) {
