Test a subscriber's kept document at each numbered point, torn and changed

A fault at each point of two writes leaves the old or the new; each cut length and a flipped bit in each byte are refused; a disk that renames without forcing is found out. The file is looked for by the folder's names, as Disk promises nothing of reading a missing one.

--- /dev/null
+++ b/faults/src/test/java/lupinvalve/replication/KeptDocumentTest.java
@@ -0,0 +1,108 @@
+package lupinvalve.replication;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import lupinvalve.faults.Points;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.subscription.FollowState;
+import org.junit.jupiter.api.Test;
+
+/** What a subscriber keeps for its restart: the old or the new, whole, or nothing that is believed. */
+class KeptDocumentTest {
+    private static final String CLUSTER = "plant";
+    private final MemoryDisk disk = new MemoryDisk();
+
+    private static FollowState.Kept kept(long revision) {
+        byte[] content = ("{\"revision\":" + revision + "}").getBytes(StandardCharsets.UTF_8);
+        return new FollowState.Kept(new Ledger.Document(revision, revision, Ledger.digest(content), content),
+                new TreeMap<>(Map.of(new Change.Holding(Change.Kind.NODE, "n" + revision), new Ledger.Held("why", 7))), revision);
+    }
+
+    @Test
+    void aFaultAtEachPointLeavesTheOldOrTheNew() throws IOException {
+        Points course = new Points();
+        course.count(true);
+        twoLives(new MemoryDisk(), course, null);
+        List<Points.At> faults = Points.all(course.met());
+        assertTrue(faults.size() >= 6, faults.toString());
+        for (Points.At at : faults) {
+            MemoryDisk own = new MemoryDisk();
+            Points points = new Points(at);
+            points.count(true);
+            long seen = twoLives(own, points, new Random(at.point()));
+            FollowState.Kept left = KeptDocument.read(own, CLUSTER);
+            long revision = left.document() == null ? 0 : left.document().revision();
+            assertTrue(revision >= seen && revision <= 2, at + ": " + revision + " after " + seen);
+            assertEquals(revision == 0 ? FollowState.Kept.NOTHING.holds() : kept(revision).holds(), left.holds(), at.toString());
+        }
+    }
+
+    /** Keeps one document, then, after a look at it, another; which one was surely kept. */
+    private static long twoLives(MemoryDisk disk, Points points, Random crash) {
+        boolean[] over = new boolean[1];
+        Disk counted = new CountedDisk(disk, points::next, new CountedDisk.Life() {
+            @Override
+            public boolean over() {
+                return over[0];
+            }
+
+            @Override
+            public void end(Points.Fault fault) {
+                over[0] = true;
+                if (crash != null) {
+                    disk.crash(crash);
+                }
+            }
+        });
+        long sure = 0;
+        for (long revision = 1; revision <= 2; revision++) {
+            try {
+                KeptDocument.read(counted, CLUSTER);
+                KeptDocument.write(counted, CLUSTER, kept(revision));
+                sure = revision;
+            } catch (IOException e) {
+                // The subscriber goes on, or its process has ended.
+            }
+        }
+        return sure;
+    }
+
+    @Test
+    void whatIsTornOrChangedOrOfAnotherClusterIsNotBelieved() throws IOException {
+        KeptDocument.write(disk, CLUSTER, kept(1));
+        byte[] whole = disk.content(KeptDocument.FILE);
+        assertArrayEquals(kept(1).document().content(), KeptDocument.read(disk, CLUSTER).document().content());
+        for (int length = 0; length < whole.length; length++) {
+            disk.put(KeptDocument.FILE, Arrays.copyOf(whole, length));
+            assertThrows(IOException.class, () -> KeptDocument.read(disk, CLUSTER));
+        }
+        for (int at = 0; at < whole.length; at++) {
+            byte[] changed = whole.clone();
+            changed[at] ^= (byte) (1 << at % 8);
+            disk.put(KeptDocument.FILE, changed);
+            assertThrows(IOException.class, () -> KeptDocument.read(disk, CLUSTER));
+        }
+        disk.put(KeptDocument.FILE, whole);
+        assertEquals("followed: of the cluster plant",
+                assertThrows(IOException.class, () -> KeptDocument.read(disk, "another")).getMessage());
+    }
+
+    @Test
+    void aDiskThatRenamesWithoutForcingIsFoundOut() throws IOException {
+        disk.planted = Sweep.Planted.RENAME_WITHOUT_FORCE;
+        KeptDocument.write(disk, CLUSTER, kept(1));
+        disk.crash(new Random(3));
+        assertThrows(IOException.class, () -> KeptDocument.read(disk, CLUSTER));
+    }
+}
--- a/group/src/main/java/lupinvalve/replication/FolderDisk.java
+++ b/group/src/main/java/lupinvalve/replication/FolderDisk.java
@@ -16,7 +16,7 @@
 
 /** A folder of the system's, for one process at a time; what is in it is for its owner alone, since it holds secrets. */
 public final class FolderDisk implements Disk {
-    private static final String LOCK = "lock", BESIDE = ".new", NAMES = "identity|(history|snapshot|audit)-.*";
+    private static final String LOCK = "lock", BESIDE = ".new", NAMES = "identity|followed|(history|snapshot|audit)-.*";
     private final Path folder;
     private final FileChannel lockFile;
     private final FileLock lock;
--- a/group/src/main/java/lupinvalve/replication/KeptDocument.java
+++ b/group/src/main/java/lupinvalve/replication/KeptDocument.java
@@ -1,7 +1,6 @@
 package lupinvalve.replication;
 
 import java.io.IOException;
-import java.nio.file.NoSuchFileException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -35,14 +34,11 @@
 
     /** What was kept, or nothing where there is no file; throws where the file is not what was written. */
     static FollowState.Kept read(Disk disk, String cluster) throws IOException {
-        byte[] file;
-        try {
-            file = disk.read(FILE);
-        } catch (NoSuchFileException e) {
+        if (!disk.names().contains(FILE)) {
             return FollowState.Kept.NOTHING;
         }
         List<byte[]> records = new ArrayList<>();
-        Frames.read(FILE, file, false, records);
+        Frames.read(FILE, disk.read(FILE), false, records);
         if (records.size() != 1) {
             throw new IOException(FILE + ": " + records.size() + " records in place of one");
         }
