Test a subscriber beside a member of before subscriptions, and a newer one beside this program

The old member's answer is written as that program wrote it; the subscriber says so once and follows the other. A request of the next version is refused with both numbers.

--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/replication/OldMemberTest.java
@@ -0,0 +1,158 @@
+package lupinvalve.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.ledger.Cbor;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Founding;
+import lupinvalve.ledger.Identity;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.log.Log;
+import lupinvalve.stories.World;
+import lupinvalve.subscription.FollowAnswer;
+import lupinvalve.subscription.FollowRequest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Programs of before subscriptions and of after this one, beside this one. */
+class OldMemberTest {
+    private static final byte[] DOCUMENT = "{}".getBytes(StandardCharsets.UTF_8);
+    @TempDir
+    private Path folder;
+
+    /** A member that answers each call as it is told. */
+    private static ServerSocket member(String name, AtomicInteger calls, java.util.function.Function<Messages.Call, byte[]> answers)
+            throws IOException {
+        ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> {
+            while (!server.isClosed()) {
+                try (Socket socket = server.accept()) {
+                    serve(socket, name, calls, answers);
+                } catch (IOException e) {
+                    // It has gone, or this one is over.
+                }
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return server;
+    }
+
+    private static void serve(Socket socket, String name, AtomicInteger calls, java.util.function.Function<Messages.Call, byte[]> answers)
+            throws IOException {
+        Founding.Word word = new Founding.Word(new Identity(name, "disk"), Founding.Phase.FOUNDED, Set.of(new Identity(name, "disk")));
+        socket.getOutputStream().write(new Messages.Hello("plant", name, "127.0.0.1:1", word).write());
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        while (true) {
+            byte[] message = new byte[in.readInt()];
+            in.readFully(message);
+            if (Messages.kind(message) == Messages.Kind.CALL) {
+                calls.incrementAndGet();
+                socket.getOutputStream().write(answers.apply(Messages.Call.read(Messages.body(message))));
+            }
+        }
+    }
+
+    /** As programs of before subscriptions wrote it: three values. */
+    private static byte[] oldAnswer(Messages.Call call) {
+        return Messages.message(Messages.Kind.ANSWER, new Cbor.Out().number(call.id()).number(Messages.Code.REFUSED.ordinal())
+                .text("no such call: " + call.name()).done());
+    }
+
+    private static byte[] newAnswer(Messages.Call call) {
+        Ledger.Document document = new Ledger.Document(1, 1, Ledger.digest(DOCUMENT), DOCUMENT);
+        byte[] content = new FollowAnswer(0, 0, "", 1, 20, new FollowAnswer.News.Whole(document), Map.of()).write();
+        return new Messages.Answer(call.id(), Messages.Code.OK, "", content).write();
+    }
+
+    @Test
+    void aSubscriberSaysOnceThatAMemberIsTooOldAndFollowsAnother() throws Exception {
+        ByteArrayOutputStream lines = new ByteArrayOutputStream();
+        AtomicInteger old = new AtomicInteger();
+        AtomicInteger current = new AtomicInteger();
+        AtomicReference<Ledger.Document> acting = new AtomicReference<>();
+        // Other tests' world makes the log quiet as it is set up: not after this one has made it loud.
+        World.await("the world is there", () -> true);
+        Log.Level before = Log.least();
+        try (ServerSocket a = member("a", old, OldMemberTest::oldAnswer);
+                ServerSocket b = member("b", current, OldMemberTest::newAnswer)) {
+            Log.to(new PrintStream(lines, true));
+            Log.least(Log.Level.INFO);
+            Map<String, String> members = Map.of("a", "127.0.0.1:" + a.getLocalPort(), "b", "127.0.0.1:" + b.getLocalPort());
+            // A name whose first member is the old one.
+            String name = java.util.stream.IntStream.range(0, 100).mapToObj(i -> "s" + i).filter(one ->
+                    new lupinvalve.subscription.FollowSchedule(one, members.keySet(), 1).first().equals("a")).findFirst().orElseThrow();
+            Subscriber subscriber = new Subscriber(OperatorConfig.Store.subscriber("plant", name, folder, members, null,
+                    OperatorConfig.Audit.OFF));
+            subscriber.start(pooler(acting));
+            World.await("follows the other", () -> acting.get() != null && current.get() > 3);
+            subscriber.stop();
+        } finally {
+            Log.to(System.err);
+            Log.least(before);
+        }
+        String said = lines.toString(StandardCharsets.UTF_8);
+        assertEquals(1, old.get(), said);
+        assertEquals(2, said.split("can't follow a: no such call: follow", -1).length, said);
+        assertTrue(said.contains("store: follows b"), said);
+    }
+
+    private static Group.Pooler pooler(AtomicReference<Ledger.Document> acting) {
+        return new Group.Pooler() {
+            @Override
+            public String objection(byte[] document) {
+                return null;
+            }
+
+            @Override
+            public void adopt(Ledger.Document document) {
+                acting.set(document);
+            }
+
+            @Override
+            public void holds(Map<Change.Holding, Ledger.Held> holds) {
+                // None are told.
+            }
+
+            @Override
+            public void commits(Change.Commits commits) {
+                // Subscribers are told of none.
+            }
+        };
+    }
+
+    @Test
+    void aNewerSubscriberIsRefusedWithBothVersions() throws Exception {
+        String at;
+        try (ServerSocket held = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            at = "127.0.0.1:" + held.getLocalPort();
+        }
+        Map<String, String> members = Map.of("a", at);
+        Group group = new Group(new OperatorConfig.Store("plant", "a", folder, at, members, null, 0));
+        try {
+            group.start(pooler(new AtomicReference<>()));
+            World.await("led", group::leads);
+            byte[] newer = new FollowRequest(FollowRequest.VERSION + 1, 0, 0, "", "", false, false, "").write();
+            Client.Said said = new Client("plant", members, null).ask("follow", List.of(newer), false, 5_000);
+            assertEquals(new Client.Said(Messages.Code.REFUSED, "version 2 of following is asked for; this member speaks 1"), said);
+        } finally {
+            group.stop();
+        }
+    }
+}
