Leave a member that answers but grants no lease, and tell it what is acted on even then

A member whose own file has audit off would have kept a subscriber that fences for good. It is left after 5 s, doubled to a minute. What was heard is told as acted on also where the member is left at once because its own lease runs out.

--- a/daemon/src/test/java/lupinvalve/cli/SubscriberTest.java
+++ b/daemon/src/test/java/lupinvalve/cli/SubscriberTest.java
@@ -27,6 +27,7 @@
 import lupinvalve.replication.Messages;
 import lupinvalve.replication.Subscriber;
 import lupinvalve.stories.World;
+import lupinvalve.subscription.FollowSchedule;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -169,6 +170,23 @@
         assertTrue(all.stream().allMatch(one -> one.actingRevision() == 3));
     }
 
+    @Test
+    void aMemberWithoutLeasesIsLeftForOneThatGrantsThem() throws Exception {
+        members(OperatorConfig.Audit.FENCE);
+        World.await("led", () -> groups.values().stream().anyMatch(Group::leads));
+        put(0, "one");
+        String without = groups.keySet().stream().filter(name -> !groups.get(name).leads()).findFirst().orElseThrow();
+        groups.remove(without).stop();
+        member(without, OperatorConfig.Audit.OFF);
+        String name = IntStream.range(0, 100).mapToObj(i -> "s" + i).filter(one ->
+                new FollowSchedule(one, NAMES, 1).first().equals(without)).findFirst().orElseThrow();
+        World.await("it takes part", () -> acting.containsKey(without) && groups.values().stream().anyMatch(Group::leads));
+        Subscriber subscriber = subscriber(name, OperatorConfig.Audit.FENCE);
+        World.await("adopted", () -> subscriber.actingRevision() == 1);
+        World.await("let act by another", subscriber::mayAct);
+        assertTrue(subscriber.traffic().moves() > 0);
+    }
+
     @Test
     void aRestartActsOnWhatItKeptAndOneThatServesGoesOnWithoutMembers() throws Exception {
         members(OperatorConfig.Audit.OFF);
--- a/group/src/main/java/lupinvalve/replication/Subscriber.java
+++ b/group/src/main/java/lupinvalve/replication/Subscriber.java
@@ -271,11 +271,6 @@
         if (!state.shutOut().isEmpty()) {
             say("has no lease: " + state.shutOut());
         }
-        if (answer.leaseMicros() > 0 && answer.leaseMicros() < FollowSchedule.MOVE_BELOW) {
-            move(link.member() + ": it is losing its own lease");
-            return;
-        }
-        schedule.answered();
         int pause = news.wrong().isEmpty() ? answer.comeBackMillis() : WRONG_MILLIS;
         long upTo = state.heardUpTo();
         pooler.reached(() -> loop.post(() -> {
@@ -283,6 +278,22 @@
             acted = state.acting();
             loop.after(pause * 1_000L, this::ask);
         }));
+        judge(answer);
+    }
+
+    /** Whether the member that answered will do. */
+    private void judge(FollowAnswer answer) {
+        boolean wanted = config.audit() != OperatorConfig.Audit.OFF && state.adoption().unreadable().isEmpty();
+        if (answer.leaseMicros() > 0 && answer.leaseMicros() < FollowSchedule.MOVE_BELOW) {
+            move(link.member() + ": it is losing its own lease");
+        } else if (wanted && answer.leaseMicros() == 0 && schedule.denied(Acting.clock())) {
+            move(link.member() + ": it grants no lease: " + answer.why());
+        } else {
+            schedule.answered();
+            if (!wanted || answer.leaseMicros() > 0) {
+                schedule.granted();
+            }
+        }
     }
 
     /** Says when the right to act ends, and when it is there again. */
--- a/subscription/src/main/java/lupinvalve/subscription/FollowSchedule.java
+++ b/subscription/src/main/java/lupinvalve/subscription/FollowSchedule.java
@@ -21,13 +21,16 @@
     public static final long MOVE_BELOW = 600_000;
     /** When one that follows another member than its first tries that again: at the earliest, and spread over as much again. */
     public static final long HOME = 60_000_000;
+    /** How long a member may answer without granting a lease before another one is tried; twice as long each time. */
+    public static final long DENIED = 5_000_000, DENIED_MOST = 60_000_000;
     /** What those that leave one member together are spread over. */
     private static final long MOVE_SPREAD = 50_000;
 
     private final List<String> order;
     private final Random random;
     private int at, tried, rounds;
-    private long awaySince;
+    private long awaySince, deniedSince = Long.MIN_VALUE;
+    private int deniedTimes;
 
     /** @param seed of the pauses */
     public FollowSchedule(String subscriber, Collection<String> members, long seed) {
@@ -78,6 +81,25 @@
         rounds = 0;
     }
 
+    /** The member has granted a lease, or none is wanted. */
+    public void granted() {
+        deniedSince = Long.MIN_VALUE;
+        deniedTimes = 0;
+    }
+
+    /** The member answers as it should but grants no lease, as one whose file has them off: whether to try another. */
+    public boolean denied(long nowMicros) {
+        if (deniedSince == Long.MIN_VALUE) {
+            deniedSince = nowMicros;
+        }
+        if (nowMicros - deniedSince < Math.min(DENIED_MOST, DENIED << Math.min(deniedTimes, 10))) {
+            return false;
+        }
+        deniedSince = nowMicros;
+        deniedTimes++;
+        return true;
+    }
+
     /** How long a connection may take to be greeted. */
     public long greetingWithin() {
         return Math.min(GREETING_MOST, GREETING << Math.min(rounds, 3));
--- a/subscription/src/test/java/lupinvalve/subscription/DecisionsTest.java
+++ b/subscription/src/test/java/lupinvalve/subscription/DecisionsTest.java
@@ -175,6 +175,19 @@
         assertEquals(schedule.first(), schedule.member());
     }
 
+    @Test
+    void aMemberThatAnswersAndGrantsNothingIsLeftAfterAWhileEverMoreRarely() {
+        FollowSchedule schedule = new FollowSchedule("s", MEMBERS, 1);
+        assertFalse(schedule.denied(100));
+        assertFalse(schedule.denied(99 + FollowSchedule.DENIED));
+        assertTrue(schedule.denied(100 + FollowSchedule.DENIED));
+        assertFalse(schedule.denied(100 + 2 * FollowSchedule.DENIED), "twice as long the next time");
+        assertTrue(schedule.denied(100 + 3 * FollowSchedule.DENIED));
+        schedule.granted();
+        assertFalse(schedule.denied(100 + 9 * FollowSchedule.DENIED), "counted anew");
+        assertTrue(schedule.denied(100 + 10 * FollowSchedule.DENIED));
+    }
+
     @Test
     void aSubscriberNeverGoesBackAndAsksForTheWholeWhereADifferenceIsWrong() {
         FollowState state = new FollowState(true, FollowState.Kept.NOTHING, 0);
--- a/subscription/src/test/java/lupinvalve/subscription/SubscriptionWorld.java
+++ b/subscription/src/test/java/lupinvalve/subscription/SubscriptionWorld.java
@@ -440,10 +440,14 @@
                 state.acted(upTo);
                 after(news.wrong().isEmpty() ? answer.comeBackMillis() * 1_000L : 200_000, () -> ask(to, mine));
             });
-            if (answer.leaseMicros() > 0 && answer.leaseMicros() < FollowSchedule.MOVE_BELOW) {
+            boolean dwindles = answer.leaseMicros() > 0 && answer.leaseMicros() < FollowSchedule.MOVE_BELOW;
+            if (dwindles || answer.leaseMicros() == 0 && schedule.denied(clock())) {
                 connect(schedule.failed(clock()));
             } else {
                 schedule.answered();
+                if (answer.leaseMicros() > 0) {
+                    schedule.granted();
+                }
             }
         }
 
