Keep a subscriber's document beside its loop, and wait longer for members that are busy

Now it is written after it is acted on, by a thread that is there only while it writes, the last of several; the wait for an answer grows by 0.5 s with each attempt in vain, and is 3 s where no document is held yet. A member's subscribers are answered from what its disk has from the start: until its log had come to a change of the document it told those without one that they had all. leaseEndMicros() tells when a right ends, for those that look from outside. KeptDocumentTest (4), SubscriptionSimulationTest, DecisionsTest, SubscriberTest (3), OldMemberTest, SubscribersTest, GroupTest passed.

--- a/faults/src/test/java/lupinvalve/replication/KeptDocumentTest.java
+++ b/faults/src/test/java/lupinvalve/replication/KeptDocumentTest.java
@@ -98,6 +98,21 @@
                 assertThrows(IOException.class, () -> KeptDocument.read(disk, "another")).getMessage());
     }
 
+    @Test
+    void ofThoseThatWaitForTheDiskTheLastIsWrittenAndItIsClosedAfterwards() throws Exception {
+        List<Runnable> waiting = new java.util.ArrayList<>();
+        DocumentKeeper keeper = new DocumentKeeper(disk, CLUSTER, waiting::add);
+        keeper.keep(kept(1));
+        keeper.keep(kept(2));
+        keeper.close();
+        assertEquals(1, waiting.size());
+        assertEquals(List.of(), disk.names(), "nobody has waited for the disk");
+        assertTrue(!keeper.closedWithin(0));
+        waiting.remove(0).run();
+        assertEquals(2, KeptDocument.read(disk, CLUSTER).document().revision());
+        assertTrue(keeper.closedWithin(0));
+    }
+
     @Test
     void aDiskThatRenamesWithoutForcingIsFoundOut() throws IOException {
         disk.planted = Sweep.Planted.RENAME_WITHOUT_FORCE;
--- a/group/src/main/java/lupinvalve/replication/Followers.java
+++ b/group/src/main/java/lupinvalve/replication/Followers.java
@@ -32,13 +32,12 @@
     private final Map<String, Waiting> waiting = new HashMap<>();
     private long changed, calls, wholes, differences, bytes;
 
-    /** @param accepted up to where a majority has accepted changes, as far as is known before the start */
-    Followers(Group group, long accepted) {
+    /** @param warm what a majority has accepted, as far as is known before the start */
+    Followers(Group group, Ledger warm) {
         this.group = group;
-        changed = accepted;
         service = new FollowService(group.config().audit() == OperatorConfig.Audit.OFF
                 ? "store.audit is off at " + group.config().name() : "", Acting.clock());
-        service.accepted(accepted, Acting.clock());
+        restored(warm);
     }
 
     /** The last change that matters to poolers, as applied here or known as accepted. */
--- a/group/src/main/java/lupinvalve/replication/Group.java
+++ b/group/src/main/java/lupinvalve/replication/Group.java
@@ -155,7 +155,7 @@
         takeOver = new TakeOver(OldStore.read(config.folder()));
         acting = config.audit() == OperatorConfig.Audit.OFF ? null
                 : new Acting(new Acts(), config.name(), config.audit() == OperatorConfig.Audit.FENCE, disk, loop.now());
-        followers = new Followers(this, warm.applied());
+        followers = new Followers(this, warm);
         adoption = new Adoption(loop.now());
         founding = new Founding(log.word(), config.members().keySet());
         peers = new Peers(net, loop, config.cluster(), config.name(), config.listen(), log.word(),
--- a/group/src/main/java/lupinvalve/replication/Subscriber.java
+++ b/group/src/main/java/lupinvalve/replication/Subscriber.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -16,6 +17,7 @@
 import lupinvalve.net.Addresses;
 import lupinvalve.net.Net;
 import lupinvalve.subscription.FollowAnswer;
+import lupinvalve.subscription.FollowRequest;
 import lupinvalve.subscription.FollowSchedule;
 import lupinvalve.subscription.FollowState;
 
@@ -35,6 +37,7 @@
     private final Net net;
     private final Tls tls;
     private final Disk disk;
+    private final DocumentKeeper keeper;
     private final boolean own;
     /** What its lines in the log begin with: its name too where there are many. */
     private final String of;
@@ -57,7 +60,7 @@
 
     /** The daemon's: with a thread and connections of its own. Throws with one line that says what is wrong with the folder. */
     public Subscriber(OperatorConfig.Store config) throws IOException {
-        this(config, new Loop("store"), null, new FolderDisk(config.folder(), true), System.nanoTime(), true);
+        this(config, new Loop("store"), null, new FolderDisk(config.folder(), true), DocumentKeeper.thread(), System.nanoTime(), true);
     }
 
     /**
@@ -65,14 +68,15 @@
      *
      * @param loop runs it; not started or stopped here
      * @param net carries its connections, on the same loop; not closed here
-     * @param disk keeps the last accepted document; closed by {@link #stop}
+     * @param disk keeps the last accepted document, written on the loop; closed by {@link #stop}
      * @param seed of its pauses
      */
     public Subscriber(OperatorConfig.Store config, Loop loop, Net net, Disk disk, long seed) throws IOException {
-        this(config, loop, net, disk, seed, false);
+        this(config, loop, net, disk, Runnable::run, seed, false);
     }
 
-    private Subscriber(OperatorConfig.Store config, Loop loop, Net net, Disk disk, long seed, boolean own) throws IOException {
+    private Subscriber(OperatorConfig.Store config, Loop loop, Net net, Disk disk, Executor writes, long seed, boolean own)
+            throws IOException {
         this.config = config;
         this.loop = loop;
         this.disk = disk;
@@ -86,6 +90,7 @@
             throw e;
         }
         this.net = own ? new Net(loop, false, tls) : net;
+        keeper = new DocumentKeeper(disk, config.cluster(), writes);
         kept = kept();
         state = new FollowState(config.audit() != OperatorConfig.Audit.OFF, kept, Acting.clock());
         schedule = new FollowSchedule(config.name(), config.members().keySet(), seed);
@@ -228,9 +233,10 @@
         calls++;
         long asked = Acting.clock();
         FollowLink by = link;
+        FollowRequest request = state.request();
         // One without a lease has nothing to lose by waiting, and a whole document may be on its way.
-        long within = state.holds(asked) && !state.request().whole() ? FollowSchedule.ANSWER : FollowSchedule.WHOLE;
-        by.ask(state.request().write(), within, answer -> answered(by, answer, asked));
+        boolean patient = !state.holds(asked) || request.whole() || request.revision() == 0;
+        by.ask(request.write(), schedule.answerWithin(patient), answer -> answered(by, answer, asked));
     }
 
     private void answered(FollowLink by, Messages.Answer answer, long asked) {
@@ -257,9 +263,6 @@
         if (!news.wrong().isEmpty()) {
             Log.warn("%s: %s; the whole is asked for", of, news.wrong());
         }
-        if (news.adopt() != null || news.holds() != null) {
-            keep();
-        }
         if (news.adopt() != null) {
             adopt(news.adopt());
         } else if (!state.adoption().unreadable().isEmpty()) {
@@ -268,6 +271,9 @@
         if (news.holds() != null) {
             pooler.holds(news.holds());
         }
+        if (news.adopt() != null || news.holds() != null) {
+            keeper.keep(state.kept());
+        }
         if (!state.shutOut().isEmpty()) {
             say("has no lease: " + state.shutOut());
         }
@@ -317,15 +323,6 @@
         pooler.reached(() -> acting = document);
     }
 
-    /** Where the disk fails it goes on all the same: members hold what a restart would miss. */
-    private void keep() {
-        try {
-            KeptDocument.write(disk, config.cluster(), state.kept());
-        } catch (IOException e) {
-            Log.error("%s: can't keep the document for a restart: %s", of, e.getMessage());
-        }
-    }
-
     // ---- from any thread ----
 
     @Override
@@ -343,6 +340,11 @@
         return Math.max(0, state.until() - Acting.clock());
     }
 
+    /** When its right to act ends or has ended, by {@link System#nanoTime} in microseconds. */
+    public long leaseEndMicros() {
+        return state.until();
+    }
+
     /** Which revision the pooler beside acts on, 0 for none. */
     public long actingRevision() {
         Ledger.Document now = acting;
@@ -418,15 +420,11 @@
             if (candidate != null) {
                 candidate.drop();
             }
-            try {
-                disk.close();
-            } catch (IOException e) {
-                Log.warn("store: %s", e.getMessage());
-            }
+            keeper.close();
             done.countDown();
         });
         try {
-            if (!done.await(3, TimeUnit.SECONDS)) {
+            if (!done.await(3, TimeUnit.SECONDS) || !keeper.closedWithin(3_000)) {
                 Log.warn("store: the end took too long");
             }
         } catch (InterruptedException e) {
--- a/subscription/src/main/java/lupinvalve/subscription/FollowSchedule.java
+++ b/subscription/src/main/java/lupinvalve/subscription/FollowSchedule.java
@@ -100,6 +100,15 @@
         return true;
     }
 
+    /**
+     * How long an answer may take: the longer the more often members would not do, as one that is busy is not helped by calls anew.
+     *
+     * @param patient whether a whole document may be on its way, or there is no lease that might run out
+     */
+    public long answerWithin(boolean patient) {
+        return patient ? WHOLE : Math.min(WHOLE, ANSWER + (tried + (long) rounds * order.size()) * FollowService.HOLD);
+    }
+
     /** How long a connection may take to be greeted. */
     public long greetingWithin() {
         return Math.min(GREETING_MOST, GREETING << Math.min(rounds, 3));
--- a/subscription/src/main/java/lupinvalve/subscription/FollowService.java
+++ b/subscription/src/main/java/lupinvalve/subscription/FollowService.java
@@ -26,11 +26,6 @@
         this.noLeases = noLeases;
     }
 
-    /** A majority has accepted changes up to here, though they may not be applied here yet. */
-    public void accepted(long index, long nowMicros) {
-        table.known(index, nowMicros);
-    }
-
     /**
      * What this member has applied; what is older than what it had applied before, as after its disk has failed, changes nothing.
      *
--- a/subscription/src/test/java/lupinvalve/subscription/SubscriptionWorld.java
+++ b/subscription/src/test/java/lupinvalve/subscription/SubscriptionWorld.java
@@ -153,14 +153,9 @@
             leases = null;
             waiting.clear();
             asked.clear();
-            service.accepted(applied, clock());
-            int known = taken;
-            taken = 0;
-            after(delay(), () -> {
-                taken = Math.max(taken, known);
-                apply();
-                follow();
-            });
+            // What its disk has is known at the start.
+            apply();
+            after(delay(), this::follow);
             renew();
             confirm();
         }
@@ -179,11 +174,7 @@
             if (taken > 0) {
                 Accepted last = history.get(taken - 1);
                 // Each document by itself, so that there are differences.
-                for (Accepted one : history.subList(0, taken)) {
-                    if (one.index() > applied || one == last) {
-                        service.applied(one.document(), holds(one.hold()), one.index(), clock());
-                    }
-                }
+                history.subList(0, taken).forEach(one -> service.applied(one.document(), holds(one.hold()), one.index(), clock()));
                 applied = Math.max(applied, last.index());
             }
             for (String who : new ArrayList<>(waiting.keySet())) {
@@ -396,7 +387,8 @@
             long askedAt = clock();
             boolean[] done = new boolean[1];
             FollowRequest request = state.request();
-            after(state.holds(askedAt) && !request.whole() ? FollowSchedule.ANSWER : FollowSchedule.WHOLE, () -> {
+            boolean patient = !state.holds(askedAt) || request.whole() || request.revision() == 0;
+            after(schedule.answerWithin(patient), () -> {
                 if (mine == link && !done[0]) {
                     connect(schedule.failed(clock()));
                 }
