Close the socket under a dial that is given up, so that later dials still come up

Cause: Link.drop cancelled the ConnectFuture of a dial under way. A dial that has come up and has no session yet is counted off twice by MINA's connector, whose thread may then end while another dial waits for it. Ruled out: the processor's thread (moved out of the way, nothing changed). The same Net serves discovery and db nodes, so a pooler could be left without any new connection until its next dial. Now the socket is closed instead. A limit of the connector's own was weighed and left: sockets of dials to db nodes that are silent would have stayed open for its time.

--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -477,7 +477,7 @@
         if (session != null) {
             session.closeNow();
         } else if (dialling != null) {
-            dialling.cancel();
+            Net.abandon(dialling);
         }
     }
 }
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -20,6 +20,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.filterchain.IoFilter;
 import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.polling.AbstractPollingIoConnector;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
@@ -320,6 +321,21 @@
         return link;
     }
 
+    /**
+     * Closes the socket under a dial that is given up. MINA's own cancel counts a dial twice that has just come up and has no
+     * session yet: its connector's thread may then end while other dials wait for it, and these never come up.
+     */
+    static void abandon(ConnectFuture dialling) {
+        if (dialling instanceof AbstractPollingIoConnector<?, ?>.ConnectionRequest request
+                && request.getHandle() instanceof SocketChannel socket) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                Log.warn("a dial that was given up could not be closed: %s", e);
+            }
+        }
+    }
+
     /**
      * Waits, no longer than so, until all that had come before the given age has been handed to the core; for one whose
      * events go first. Core thread only.
