Drill a release that overloads discovery: half of the poolers killed together, db nodes draining

The crossing mix had no fault in which many poolers ask discovery at once. While overloaded, the stand-in discovery resets all watches, works through the calls of all poolers one after another (CallQueue, no I/O), and refuses, resets, tears, answers late or answers within 15 ms of when a caller gives up; three calls in a row may fail for one pooler, the fourth is answered within 0.9 s. JSON: overloads, overload_calls, overload_calls_failed; late_unanswered, those of late_after_drain in a process that had no answer yet when the 6 s had passed; rig_stall_max_ms, how long the rig got no processor, which excuses nothing.

Changed tests: TimingTest hands drained() a DrainNotice.Told, the same times.

--- a/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
+++ b/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
@@ -33,6 +33,9 @@
     @Option(name = "--lying-disks", usage = "a double: killed poolers lose the end of what their disks said was forced")
     private boolean lying;
 
+    @Option(name = "--late-lists", metaVar = "MS", usage = "a double: all that discovery writes to p1 comes so many ms late")
+    private long lateLists;
+
     private Scenario chosen() throws java.io.IOException {
         if (scenario != null) {
             return Scenario.read(scenario.toString(), Files.readString(scenario));
@@ -48,21 +51,32 @@
 
     @Override
     public int run(PrintStream out) throws Exception {
-        return run(out, this, chosen(), lying, 0, timeline);
+        return run(out, this, chosen(), new Doubles(lying, lateLists), 0, timeline);
     }
 
+    /**
+     * What is not as it should be, to see the judge bite.
+     *
+     * @param lyingDisks killed poolers lose the end of what their disks said was forced
+     * @param lateListsMillis so late comes what discovery writes to p1; 0 for at once
+     */
+    record Doubles(boolean lyingDisks, long lateListsMillis) {}
+
     /**
      * Runs a drill.
      *
      * @param leaderKillsMillis how long nothing but leaders are killed, in place of the scenario's steps; 0 for those
      */
-    static int run(PrintStream out, DrillOptions told, Scenario scenario, boolean lying, long leaderKillsMillis, Path timeline)
+    static int run(PrintStream out, DrillOptions told, Scenario scenario, Doubles doubles, long leaderKillsMillis, Path timeline)
             throws Exception {
         PrintStream log = told.log(out);
-        Drill drill = new Drill(new Drill.Setting(scenario, told.config, told.seed, lying, log, java.util.List.of(), 0, "off"));
+        Drill drill = new Drill(new Drill.Setting(scenario, told.config, told.seed, doubles.lyingDisks(), log, java.util.List.of(), 0, "off"));
         if (told.debug) {
             drill.debug();
         }
+        if (doubles.lateListsMillis() > 0) {
+            drill.lateLists("p1", doubles.lateListsMillis());
+        }
         try {
             drill.start();
             if (leaderKillsMillis > 0) {
--- a/rig/src/main/java/lupinvalve/rig/DiscoveryCall.java
+++ b/rig/src/main/java/lupinvalve/rig/DiscoveryCall.java
@@ -65,6 +65,18 @@
         close();
     }
 
+    /** Says no. */
+    void refuse() throws IOException {
+        out.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".getBytes(US_ASCII));
+        close();
+    }
+
+    /** Ends the call as one whose end has gone. */
+    void reset() throws IOException {
+        socket.setSoLinger(true, 0);
+        close();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/rig/src/main/java/lupinvalve/rig/Drains.java
+++ b/rig/src/main/java/lupinvalve/rig/Drains.java
@@ -41,7 +41,7 @@
         boolean last = depths.merge(node, -1, Integer::sum) == 0;
         if (last) {
             open.remove(node).forEach((pooler, notice) -> notice.ended(at).forEach(told ->
-                    timing.drained(pooler, node, told.from(), told.to())));
+                    timing.drained(pooler, node, told)));
         }
         return last;
     }
--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -61,6 +61,8 @@
         final NodeList list;
         /** By whom is dialled: other poolers' stores, and db nodes. */
         final Map<String, FaultProxy> ways = new TreeMap<>();
+        /** Stands before discovery where its word is to come late, else null. */
+        FaultProxy lateList;
         volatile long adopted;
 
         Pooler(int number, int store, int pg) throws IOException {
@@ -75,7 +77,7 @@
                 ways.put(node.id, way);
                 addresses.put(node.id, "127.0.0.1:" + way.port());
             }
-            list = new NodeList(nodes.all(), addresses, ZONES, new Told(name));
+            list = new NodeList(name, nodes.all(), addresses, ZONES, discoveryQueue, new Told(name));
         }
 
         private void said(String line) {
@@ -101,9 +103,13 @@
             }
         }
 
+        private int discoveryPort() {
+            return lateList == null ? list.port() : lateList.port();
+        }
+
         void files() throws IOException {
             String platform = Files.readString(setting.config()).replace("\"name\": \"n0\"", "\"name\": \"" + name + "\"")
-                    .replace("127.0.0.1:5432", "127.0.0.1:" + pg).replace("127.0.0.1:8500", "127.0.0.1:" + list.port())
+                    .replace("127.0.0.1:5432", "127.0.0.1:" + pg).replace("127.0.0.1:8500", "127.0.0.1:" + discoveryPort())
                     .replace("\"members\": []", "\"members\": [" + list.entries() + "]")
                     .replace("\"almaty-main\"", "\"" + String.join("\",\"", ZONES) + "\"")
                     .replace("\"me\": 0", "\"me\": " + number).replace("\"n_instances\": 1", "\"n_instances\": " + poolers.size())
@@ -216,6 +222,7 @@
     private final Book book = new Book();
     private final Timing timing;
     private final Drains drains;
+    private final CallQueue discoveryQueue;
     private final TimedLog discoveryLog = new TimedLog(folder.resolve("discovery.log"));
     private final List<Pooler> poolers = new ArrayList<>();
     private final StoreClients operators;
@@ -229,6 +236,7 @@
     private volatile String leader, pointMet;
     private volatile Watcher watcher = new Watcher() { };
     private volatile boolean over;
+    private final Stall stall = new Stall(() -> over);
 
     /** Sets all up; nothing runs yet. */
     public Drill(Setting setting) throws IOException {
@@ -238,6 +246,7 @@
         timing = new Timing(new Timing.Rules(rules.drainGraceMicros() / 1000, rules.coldShare(), rules.warmUpMicros() / 1000,
                 rules.overloadMultiple(), rules.overloadMicros() / 1000));
         drains = new Drains(IntStream.range(0, scenario.poolers()).mapToObj(i -> "p" + i).toList(), timing);
+        discoveryQueue = new CallQueue(setting.seed());
         nodes = new DbNodes(scenario.groups(), new DbNodes.Seen() {
             @Override
             public void ran(DbNodes.DbNode node, String pooler, Map<String, String> fields, boolean write) {
@@ -282,6 +291,14 @@
         poolers.forEach(p -> p.process.debug());
     }
 
+    /** A double, to see the judge bite: all that discovery writes to a pooler comes so late; before {@link #start}. */
+    public void lateLists(String name, long millis) throws IOException {
+        Pooler late = pooler(name);
+        late.lateList = new FaultProxy(late.list.port());
+        late.lateList.slow(millis);
+        late.files();
+    }
+
     /** Addresses of all members, past all proxies. */
     public Map<String, String> places() {
         Map<String, String> places = new TreeMap<>();
@@ -368,8 +385,10 @@
                 setting.log().println(step);
                 course.add(step);
                 done.merge(step.kind(), 1, Integer::sum);
+                // Others that took long, as an end does, may have held it up: it lasts its time all the same.
+                long from = Math.max(next.at(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun));
                 act(step, true);
-                due.add(new Due(next.at() + step.forMillis(), setting.scenario().steps().size() + next.order(), step, true));
+                due.add(new Due(from + step.forMillis(), setting.scenario().steps().size() + next.order(), step, true));
             }
         }
         mend();
@@ -425,6 +444,7 @@
                     drains.fellSilent(step.who(), System.currentTimeMillis());
                 }
             }
+            case OVERLOAD -> overload(on);
             case RELOAD -> {
                 if (on && !pooler(step.who()).process.paused()) {
                     pooler(step.who()).process.reload();
@@ -434,6 +454,16 @@
         }
     }
 
+    private void overload(boolean on) throws IOException {
+        discoveryLog.said(on ? "discovery is overloaded" : "discovery is overloaded no longer");
+        discoveryQueue.overloaded(on);
+        if (on) {
+            for (Pooler each : poolers) {
+                each.list.breakWatches();
+            }
+        }
+    }
+
     private void pause(Pooler pooler, boolean on) throws IOException, InterruptedException {
         if (on && pooler.process.runs()) {
             downSince.put(pooler.name, System.currentTimeMillis());
@@ -529,6 +559,7 @@
 
     /** All that was done is undone, and all poolers act on what holds. */
     private void mend() throws IOException, InterruptedException {
+        overload(false);
         for (DbNodes.DbNode node : nodes.all()) {
             node.pause(false);
             node.slow(0);
@@ -620,7 +651,9 @@
                     + "\"node_faults\":%d,"
                     + "\"requests\":%d,\"served\":%d,\"refused\":%d,\"failed\":%d,\"lost\":%d,\"doubled\":%d,\"divergent\":%d,"
                     + "\"unanswered\":%d,\"refused_ran\":%d,\"stale\":%d,\"left\":%d,\"late_after_departure\":%d,\"late_after_drain\":%d,"
+                    + "\"late_unanswered\":%d,\"rig_stall_max_ms\":%d,"
                     + "\"cold_overrun\":%d,\"restarts_timed\":%d,\"not_ready_10s\":%d,\"drains\":%d,\"silences\":%d,"
+                    + "\"overloads\":%d,\"overload_calls\":%d,\"overload_calls_failed\":%d,"
                     + "\"unclean\":%d,\"acknowledged\":%d,\"elections\":%d,"
                     + "\"failovers\":%d,\"failover_p50_ms\":%.0f,\"failover_p99_ms\":%.0f,\"commit_p50_ms\":%.1f,"
                     + "\"commit_p99_ms\":%.1f,\"recovery_p99_ms\":%.0f}", poolers.size(), setting.seed(),
@@ -630,8 +663,9 @@
                     Step.Kind.NODE_SLOW), requests.requests(), requests.count(Book.Ending.SERVED),
                     requests.count(Book.Ending.REFUSED), requests.count(Book.Ending.FAILED), requests.lost() + lostPuts,
                     requests.doubled(), divergent.size(), requests.unanswered(), requests.refusedRan(), requests.stale(),
-                    requests.count(Book.Ending.LEFT), times.lateAfterDeparture(), times.lateAfterDrain(), times.coldOverrun(),
+                    requests.count(Book.Ending.LEFT), times.lateAfterDeparture(), times.lateAfterDrain(), times.lateUnanswered(), stall.longestMillis(), times.coldOverrun(),
                     times.restarts(), times.notReady(), count(Step.Kind.NODE_DRAIN), count(Step.Kind.LIST_SILENT),
+                    count(Step.Kind.OVERLOAD), discoveryQueue.counts().calls(), discoveryQueue.counts().failed(),
                     unclean.size(), operators.checker.acknowledged(), terms.size(), operators.failovers.getTotalCount(),
                     ms(operators.failovers, 50), ms(operators.failovers, 99), ms(operators.commits, 50),
                     ms(operators.commits, 99), ms(recoveries, 99));
@@ -686,6 +720,9 @@
         for (Pooler pooler : poolers) {
             pooler.process.close();
             pooler.list.close();
+            if (pooler.lateList != null) {
+                pooler.lateList.close();
+            }
             for (FaultProxy way : pooler.ways.values()) {
                 way.close();
             }
--- a/rig/src/main/java/lupinvalve/rig/NodeList.java
+++ b/rig/src/main/java/lupinvalve/rig/NodeList.java
@@ -35,13 +35,23 @@
     private final Map<String, String> addresses;
     private final List<String> zones;
     private final Told told;
+    private final CallQueue queue;
+    private final String pooler;
     private final List<DiscoveryCall> silent = new CopyOnWriteArrayList<>();
     private int revision = 1;
     private int calls;
     private final Set<String> draining = new TreeSet<>();
 
-    /** @param addresses of db nodes as this pooler reaches them */
-    NodeList(List<DbNodes.DbNode> nodes, Map<String, String> addresses, List<String> zones, Told told) throws IOException {
+    /**
+     * Answers from now on.
+     *
+     * @param addresses of db nodes as this pooler reaches them
+     * @param queue of all poolers' calls
+     */
+    NodeList(String pooler, List<DbNodes.DbNode> nodes, Map<String, String> addresses, List<String> zones, CallQueue queue, Told told)
+            throws IOException {
+        this.pooler = pooler;
+        this.queue = queue;
         this.nodes = nodes;
         this.addresses = addresses;
         this.zones = zones;
@@ -75,10 +85,39 @@
         return nodes.stream().map(this::entry).collect(Collectors.joining(","));
     }
 
-    private void answer(Socket socket) throws IOException {
+    private void answer(Socket socket) throws IOException, InterruptedException {
         DiscoveryCall call = new DiscoveryCall(socket);
         String name = begun(call);
-        whole(call, name);
+        long now = System.currentTimeMillis();
+        CallQueue.Fate fate = queue.fate(pooler, now);
+        if (fate.at() > now) {
+            Thread.sleep(fate.at() - now);
+        }
+        switch (fate.ending()) {
+            case ANSWERED -> whole(call, name);
+            case REFUSED -> {
+                told.said(name + " was refused");
+                call.refuse();
+            }
+            case RESET -> {
+                told.said(name + " was reset");
+                call.reset();
+            }
+            case TORN -> torn(call, name);
+        }
+    }
+
+    /** Half the list, and a reset. */
+    private synchronized void torn(DiscoveryCall call, String name) throws IOException {
+        told.said(name + " was reset within its answer");
+        String list = list();
+        call.begin();
+        call.chunk(list.substring(0, list.length() / 2));
+        call.reset();
+    }
+
+    private String list() {
+        return "{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + entries() + "]}\n";
     }
 
     private synchronized String begun(DiscoveryCall call) {
@@ -96,7 +135,7 @@
         }
         told.answered(List.copyOf(draining), System.currentTimeMillis());
         call.begin();
-        call.chunk("{\"revision\":" + revision + ",\"complete\":true,\"members\":[" + entries() + "]}\n");
+        call.chunk(list());
         told.said(name + " was answered, revision " + revision + ", draining " + draining);
         if (call.follows) {
             watching.add(call);
@@ -116,6 +155,15 @@
         started(node);
     }
 
+    /** Ends all open watches with resets. */
+    synchronized void breakWatches() throws IOException {
+        told.said(watching.size() + " watches are reset");
+        for (DiscoveryCall call : watching) {
+            call.reset();
+        }
+        watching.clear();
+    }
+
     /** What is open now stays open and says nothing more; whether there was any. */
     synchronized boolean fallSilent() {
         boolean any = !watching.isEmpty();
--- a/rig/src/main/java/lupinvalve/rig/Scenario.java
+++ b/rig/src/main/java/lupinvalve/rig/Scenario.java
@@ -37,7 +37,7 @@
             check(s.atMillis() >= 0 && s.atMillis() <= LONGEST, at + "at_ms", s.atMillis(), "0 to " + LONGEST);
             check(s.forMillis() >= 0 && s.forMillis() <= LONGEST, at + "for_ms", s.forMillis(), "0 to " + LONGEST);
             boolean whoIs = s.kind().ofNode() ? isNode(s.who(), groups) : isPooler(s.who(), poolers) || s.who().equals(Step.LEADER)
-                    || s.kind() == Step.Kind.POWER && s.who().equals(Step.ALL);
+                    || s.kind().ofAll() && s.who().equals(Step.ALL);
             check(whoIs, at + "who", s.who(), s.kind().ofNode() ? "a db node" : "a pooler, or " + Step.LEADER);
             boolean toIs = s.kind().between ? isPooler(s.to(), poolers) || isNode(s.to(), groups) || s.to().equals(Step.ALL)
                     : s.to().isEmpty();
@@ -192,7 +192,7 @@
         ALL(Step.Kind.KILL, Step.Kind.KILL, Step.Kind.PAUSE, Step.Kind.PAUSE, Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.RELOAD, Step.Kind.CUT,
                 Step.Kind.CUT_THERE, Step.Kind.CUT_THERE, Step.Kind.FLAP, Step.Kind.SLOW, Step.Kind.LOSSY, Step.Kind.LIMIT, Step.Kind.HALF_OPEN,
                 Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE, Step.Kind.NODE_SLOW, Step.Kind.POWER),
-        /** Ends that are crossed by others: poolers told to end, silent lists, db nodes that drain or come back cold. */
+        /** Ends that are crossed by others: poolers told to end, silent lists, db nodes that drain or come back cold; and releases. */
         CROSSING(Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.KILL, Step.Kind.RELOAD, Step.Kind.LIST_SILENT, Step.Kind.LIST_SILENT,
                 Step.Kind.NODE_DRAIN, Step.Kind.NODE_DRAIN, Step.Kind.NODE_KILL, Step.Kind.NODE_SLOW);
 
@@ -203,7 +203,10 @@
         }
     }
 
-    /** Faults for so long, drawn by a seed; all end before it is over, and a minority of the poolers is down at a time. */
+    /**
+     * Faults for so long, drawn by a seed; all end before it is over, and a minority of the poolers is down at a time but at a loss of
+     * power and in a release.
+     */
     public static Scenario draw(Mix mix, int poolers, int groups, long millis, long seed) {
         Random random = new Random(seed);
         List<Step> steps = new ArrayList<>();
@@ -235,6 +238,9 @@
                 steps.add(new Step(at, kind, leads ? Step.LEADER : "p" + one, "", 0, kind == Step.Kind.RESTART ? 0 : until - at));
             }
         }
+        if (mix == Mix.CROSSING) {
+            steps.addAll(Release.draw(poolers, groups, millis, seed));
+        }
         return new Scenario(poolers, groups, steps);
     }
 
--- a/rig/src/main/java/lupinvalve/rig/Step.java
+++ b/rig/src/main/java/lupinvalve/rig/Step.java
@@ -53,7 +53,9 @@
         /** A db node is listed as leaving, and goes on. */
         NODE_DRAIN(false, false),
         /** The pooler's open watches say nothing more; new calls are answered. */
-        LIST_SILENT(false, false);
+        LIST_SILENT(false, false),
+        /** Discovery has too many callers: it resets all watches, works through calls slowly, and fails up to three in a row. */
+        OVERLOAD(false, false);
 
         /** Whether it strikes a connection. */
         public final boolean between;
@@ -70,6 +72,11 @@
             return NODES.contains(this);
         }
 
+        /** Whether it may strike all at once, as {@link #ALL}. */
+        public boolean ofAll() {
+            return this == POWER || this == OVERLOAD;
+        }
+
         /** Whether the pooler's process does not run, or not on, while it lasts. */
         public boolean downs() {
             return DOWNS.contains(this);
--- a/rig/src/main/java/lupinvalve/rig/Timing.java
+++ b/rig/src/main/java/lupinvalve/rig/Timing.java
@@ -32,9 +32,11 @@
 
     private record Span(String pooler, String node, long from, long to) {}
 
+    private record Drained(Span span, DrainNotice.Basis basis) {}
+
     private final Rules rules;
     private final Map<String, Long> left = new HashMap<>();
-    private final Map<String, List<Span>> drains = new TreeMap<>();
+    private final Map<String, List<Drained>> drains = new TreeMap<>();
     private final Map<String, List<Long>> starts = new TreeMap<>();
     private final List<Came> came = new ArrayList<>();
     private final List<Span> disturbed = new ArrayList<>();
@@ -55,8 +57,9 @@
     }
 
     /** A pooler was told that a db node drains, up to when it was told otherwise. */
-    public synchronized void drained(String pooler, String node, long from, long to) {
-        drains.computeIfAbsent(node, n -> new ArrayList<>()).add(new Span(pooler, node, from, to));
+    synchronized void drained(String pooler, String node, DrainNotice.Told told) {
+        Span span = new Span(pooler, node, told.from(), told.to());
+        drains.computeIfAbsent(node, n -> new ArrayList<>()).add(new Drained(span, told.basis()));
     }
 
     /** A db node has started, and is cold. */
@@ -79,13 +82,19 @@
                 && (d.node == null || d.node.equals(one.node)) && d.from <= one.at && d.to >= since);
     }
 
-    private boolean lateAfter(Span drain, Came one) {
+    private boolean lateAfter(Drained drained, Came one) {
+        Span drain = drained.span;
         return drain.pooler.equals(one.pooler) && one.at > drain.from + rules.drainMillis() + SLACK && one.at < drain.to
                 && !excused(one, drain.from);
     }
 
-    /** What was found; restarts are all that were timed. */
-    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int coldOverrun, int restarts, int notReady,
+    /**
+     * What was found.
+     *
+     * @param lateUnanswered those of the late after a drain whose process had not been answered yet when the 6 s had passed
+     * @param restarts all that were timed
+     */
+    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int lateUnanswered, int coldOverrun, int restarts, int notReady,
             List<String> findings) {
         public boolean good() {
             return lateAfterDeparture + lateAfterDrain + coldOverrun == 0 && notReady * 10 <= restarts;
@@ -96,17 +105,21 @@
         List<String> findings = new ArrayList<>();
         int departed = 0;
         int drained = 0;
+        int unanswered = 0;
         for (Came one : came) {
             Long gone = left.get(one.id);
             if (gone != null && one.at > gone + DEPARTED && !excused(one, gone)) {
                 departed++;
-                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone) + " ms after its client had gone");
+                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone) + " ms after its client had gone, at "
+                        + one.at);
             }
-            Optional<Span> late = drains.getOrDefault(one.node, List.of()).stream().filter(drain -> lateAfter(drain, one)).findFirst();
+            Optional<Drained> late = drains.getOrDefault(one.node, List.of()).stream().filter(drain -> lateAfter(drain, one)).findFirst();
             if (late.isPresent()) {
                 drained++;
-                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - late.get().from)
-                        + " ms after its drain was told, at " + one.at);
+                boolean answered = late.get().basis == DrainNotice.Basis.ANSWERED;
+                unanswered += answered ? 0 : 1;
+                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - late.get().span.from)
+                        + " ms after its drain was told" + (answered ? "" : " by the 6 s") + ", at " + one.at);
             }
         }
         int overrun = overrun(findings);
@@ -114,7 +127,7 @@
         if (late * 10 > ready.size()) {
             findings.add(late + " of " + ready.size() + " restarted poolers were not ready in 10 s");
         }
-        return new Verdict(departed, drained, overrun, ready.size(), late, findings);
+        return new Verdict(departed, drained, unanswered, overrun, ready.size(), late, findings);
     }
 
     /** Windows in which a cold db node was sent more than it bears: the busiest of the others shows what one can do. */
--- a/rig/src/test/java/lupinvalve/rig/DrainsTest.java
+++ b/rig/src/test/java/lupinvalve/rig/DrainsTest.java
@@ -48,6 +48,7 @@
         timing.came("n1", "p0", "b", 16_000 + LATE);
         drains.ended("n1", 20_000);
         assertEquals(1, late());
+        assertEquals(1, timing.verdict().lateUnanswered());
     }
 
     @Test
--- a/rig/src/test/java/lupinvalve/rig/NodeListTest.java
+++ b/rig/src/test/java/lupinvalve/rig/NodeListTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -9,6 +10,7 @@
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -21,15 +23,23 @@
 /** A pooler counts as answered when discovery writes to a call of it that is still open. */
 class NodeListTest {
     private static final String WATCH = "GET /api/targets?follow=1&since=0 HTTP/1.1\r\n\r\n";
+    private static final String CALL = "GET /api/targets HTTP/1.1\r\n\r\n";
     private final BlockingQueue<List<String>> answers = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    private volatile CallQueue.Fate fate = new CallQueue.Fate(0, CallQueue.Ending.ANSWERED);
+    private final CallQueue queue = new CallQueue(7) {
+        @Override
+        CallQueue.Fate fate(String pooler, long now) {
+            return fate;
+        }
+    };
     private DbNodes nodes;
     private NodeList list;
 
     @BeforeEach
     void starts() throws IOException {
         nodes = new DbNodes(1, (node, pooler, fields, write) -> { });
-        list = new NodeList(nodes.all(), Map.of("n0", "127.0.0.1:1", "n1", "127.0.0.1:2", "n2", "127.0.0.1:3"), List.of("east", "west"),
+        list = new NodeList("p0", nodes.all(), Map.of("n0", "127.0.0.1:1", "n1", "127.0.0.1:2", "n2", "127.0.0.1:3"), List.of("east", "west"), queue,
                 new NodeList.Told() {
                     @Override
                     public void answered(List<String> draining, long at) {
@@ -69,6 +79,20 @@
         return line;
     }
 
+    /** All that comes until the end, or until a reset. */
+    private static String text(Socket from) throws IOException {
+        StringBuilder text = new StringBuilder();
+        byte[] bytes = new byte[4096];
+        try {
+            for (int count = from.getInputStream().read(bytes); count >= 0; count = from.getInputStream().read(bytes)) {
+                text.append(new String(bytes, 0, count, US_ASCII));
+            }
+        } catch (SocketException e) {
+            text.append("reset");
+        }
+        return text.toString();
+    }
+
     private void awaits(String line) throws InterruptedException {
         String said = lines.poll(5, TimeUnit.SECONDS);
         while (said != null && !said.startsWith(line)) {
@@ -123,4 +147,50 @@
             assertTrue(!list.fallSilent());
         }
     }
+
+    /** What a call hears that ends so. */
+    private String heard(CallQueue.Ending ending) throws IOException {
+        fate = new CallQueue.Fate(0, ending);
+        try (Socket call = call(CALL)) {
+            call.setSoTimeout(5_000);
+            return text(call);
+        }
+    }
+
+    @Test
+    void onlyAWholeListCountsAsAnAnswer() throws Exception {
+        list.drains(nodes.get("n1"), true);
+        answers.clear();
+        assertTrue(heard(CallQueue.Ending.REFUSED).startsWith("HTTP/1.1 503 "));
+        assertEquals("reset", heard(CallQueue.Ending.RESET));
+        String torn = heard(CallQueue.Ending.TORN);
+        assertTrue(torn.endsWith("reset") && !torn.contains("\"n2\""), torn);
+        assertTrue(answers.isEmpty(), answers.toString());
+        assertTrue(heard(CallQueue.Ending.ANSWERED).contains("\"n2\""));
+        assertEquals(List.of("n1"), answers.poll());
+    }
+
+    @Test
+    void aCallThatIsGivenUpBeforeItsTurnIsNotAnswered() throws Exception {
+        fate = new CallQueue.Fate(System.currentTimeMillis() + 300, CallQueue.Ending.ANSWERED);
+        try (Socket call = call(CALL)) {
+            call.setSoTimeout(5_000);
+            awaits("call 1 began");
+        }
+        awaits("call 1 had been given up");
+        assertTrue(answers.isEmpty(), answers.toString());
+    }
+
+    @Test
+    void watchesThatAreResetAreNotAnswered() throws Exception {
+        try (Socket watch = call(WATCH)) {
+            watch.setSoTimeout(5_000);
+            awaits("watched");
+            answers.clear();
+            list.breakWatches();
+            list.drains(nodes.get("n1"), true);
+            assertThrows(SocketException.class, () -> read(watch, "terminating"));
+            assertTrue(answers.isEmpty(), answers.toString());
+        }
+    }
 }
--- a/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
+++ b/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
@@ -1,6 +1,7 @@
 package lupinvalve.rig;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.OutputStream;
@@ -36,6 +37,23 @@
         }
     }
 
+    @Test
+    void aPoolerThatHearsOfDrainsLateIsSeen() throws Exception {
+        List<Step> drains = List.of(new Step(100, Step.Kind.NODE_DRAIN, "n1", "", 0, 1_200), new Step(1_800, Step.Kind.NODE_DRAIN, "n2", "", 0, 1_200));
+        try (Drill drill = new Drill(new Drill.Setting(new Scenario(3, 1, drains), CONFIG, 7, false,
+                new PrintStream(OutputStream.nullOutputStream()), List.of(), 5, "off"))) {
+            drill.lateLists("p1", 500);
+            drill.start();
+            drill.play();
+            Drill.Result result = drill.judge(true);
+            assertFalse(result.good(), result.json());
+            assertFalse(result.json().contains("\"late_after_drain\":0,"), result.json());
+            for (String finding : result.findings()) {
+                assertTrue(finding.matches("q\\d+ came to n[12] by p1 \\d+ ms after its drain was told, at \\d+"), finding);
+            }
+        }
+    }
+
     @Test
     void aProcessThatEndsItselfAtAPointComesBackToTheSameHistory() throws Exception {
         // The first point is the look into the empty folder; the 40th comes while the group is founded or soon after.
--- a/rig/src/test/java/lupinvalve/rig/TimingTest.java
+++ b/rig/src/test/java/lupinvalve/rig/TimingTest.java
@@ -16,7 +16,7 @@
         timing.left("a", 990);
         timing.left("b", 1_000);
         timing.came("n0", "p0", "b", 1_150);
-        timing.drained("p0", "n1", 2_000, 4_000);
+        timing.drained("p0", "n1", new DrainNotice.Told(2_000, 4_000, DrainNotice.Basis.ANSWERED));
         timing.came("n1", "p0", "c", 2_300);
         timing.came("n1", "p0", "d", 4_001);
         timing.came("n1", "p1", "e", 3_000);
@@ -40,9 +40,10 @@
 
     @Test
     void aSendToOneThatDrainsIsSeen() {
-        timing.drained("p0", "n1", 2_000, 4_000);
+        timing.drained("p0", "n1", new DrainNotice.Told(2_000, 4_000, DrainNotice.Basis.ANSWERED));
         timing.came("n1", "p0", "c", 2_301);
         assertEquals(1, timing.verdict().lateAfterDrain());
+        assertEquals(0, timing.verdict().lateUnanswered());
         assertFalse(timing.verdict().good());
     }
 
