Split the drill by concern: result, faults of links and db nodes, files, the group's log

What was judged goes to DrillResult (the same JSON, fields in the same order), faults of connections to LinkFaults, those of db nodes to NodeFaults, what a pooler starts from to PoolerFiles, what logs tell of the group to GroupLog, the listeners to DrainTold, Arrivals and DrillWatcher, the wait to Await. No behaviour changes.

Drill.Result became DrillResult in ProcessesTest; its assertions are the same.

--- a/lab/src/main/java/lupinvalve/lab/AuditDrillCommand.java
+++ b/lab/src/main/java/lupinvalve/lab/AuditDrillCommand.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import lupinvalve.rig.AuditDrill;
 import lupinvalve.rig.Drill;
+import lupinvalve.rig.DrillResult;
 import lupinvalve.rig.Scenario;
 import org.kohsuke.args4j.Option;
 
@@ -31,7 +32,7 @@
             audit.start(seed);
             drill.play();
             audit.judge();
-            Drill.Result result = drill.judge(true);
+            DrillResult result = drill.judge(true);
             String verdict = audit.json(poolers, seed, result.requests());
             result.findings().stream().limit(SHOWN).forEach(log::println);
             audit.findings().stream().limit(SHOWN).forEach(log::println);
--- a/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
+++ b/lab/src/main/java/lupinvalve/lab/ProcessDrill.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import lupinvalve.rig.Drill;
+import lupinvalve.rig.DrillResult;
 import lupinvalve.rig.Scenario;
 import org.kohsuke.args4j.Option;
 
@@ -84,7 +85,7 @@
             } else {
                 drill.play();
             }
-            Drill.Result result = drill.judge(true);
+            DrillResult result = drill.judge(true);
             result.findings().stream().limit(SHOWN).forEach(log::println);
             if (timeline != null) {
                 Files.writeString(timeline, drill.course().write());
--- a/rig/src/main/java/lupinvalve/rig/AuditDrill.java
+++ b/rig/src/main/java/lupinvalve/rig/AuditDrill.java
@@ -23,7 +23,7 @@
  * them back, others put configurations strictly, and faults part poolers from the group meanwhile. After a strict call's answer
  * no statement may reach the db node that it took out; and what the audit answers must agree with what was told when.
  */
-public final class AuditDrill implements Drill.Watcher {
+public final class AuditDrill implements DrillWatcher {
     private static final long CALL_MILLIS = 9_000, HELD_MILLIS = 400, FAULT_LASTS = 4_000, CLOCKS = 60;
     private static final JsonFactory JSON = new JsonFactory();
 
--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -3,26 +3,19 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import lupinvalve.Routing;
 import lupinvalve.config.NodeConfig;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -33,10 +26,6 @@
  * the faults of a scenario between them. Then all is mended, and what everybody saw is judged.
  */
 public final class Drill implements Closeable {
-    private static final Pattern ADOPTED = Pattern.compile("store: adopted revision (\\d+), change \\d+, digest ([0-9a-f]+)");
-    private static final Pattern LEADS = Pattern.compile("store: (\\S+)/\\S+ leads, term (\\d+)");
-    private static final Pattern POINT = Pattern.compile(" point \\d+ at [A-Z]+: [A-Z_]+$");
-    private static final String STOPPED = ": STOPPED";
     private static final long STOOD = 2_000;
     private static final List<String> ZONES = List.of("east", "west");
     private static final int OPERATORS = 3, CLIENTS = 3, WITHIN_SECONDS = 30;
@@ -63,7 +52,6 @@
         final Map<String, FaultProxy> ways = new TreeMap<>();
         /** Stands before discovery where its word is to come late, else null. */
         FaultProxy lateList;
-        volatile long adopted;
 
         Pooler(int number, int store, int pg) throws IOException {
             this.number = number;
@@ -77,29 +65,16 @@
                 ways.put(node.id, way);
                 addresses.put(node.id, "127.0.0.1:" + way.port());
             }
-            list = new NodeList(name, nodes.all(), addresses, ZONES, discoveryQueue, new Told(name));
+            list = new NodeList(name, nodes.all(), addresses, ZONES, discoveryQueue, new DrainTold(name, drains, discoveryLog));
         }
 
         private void said(String line) {
             watcher.line(name, line, System.currentTimeMillis());
-            Matcher adoption = ADOPTED.matcher(line);
-            if (adoption.find()) {
-                adopted = Long.parseLong(adoption.group(1));
-                operators.checker.adopted(name, adopted, adoption.group(2));
-            }
-            if (POINT.matcher(line).find()) {
-                pointMet = line;
-                if (line.endsWith(STOPPED)) {
-                    Threads.start("wakes " + name, () -> {
-                        Thread.sleep(STOOD);
-                        process.wake();
-                    });
-                }
-            }
-            Matcher leads = LEADS.matcher(line);
-            if (leads.find()) {
-                terms.add(Integer.parseInt(leads.group(2)));
-                leader = leads.group(1);
+            if (group.stopped(name, line)) {
+                Threads.start("wakes " + name, () -> {
+                    Thread.sleep(STOOD);
+                    process.wake();
+                });
             }
         }
 
@@ -108,34 +83,29 @@
         }
 
         void files() throws IOException {
-            String platform = Files.readString(setting.config()).replace("\"name\": \"n0\"", "\"name\": \"" + name + "\"")
-                    .replace("127.0.0.1:5432", "127.0.0.1:" + pg).replace("127.0.0.1:8500", "127.0.0.1:" + discoveryPort())
-                    .replace("\"members\": []", "\"members\": [" + list.entries() + "]")
-                    .replace("\"almaty-main\"", "\"" + String.join("\",\"", ZONES) + "\"")
-                    .replace("\"me\": 0", "\"me\": " + number).replace("\"n_instances\": 1", "\"n_instances\": " + poolers.size())
-                    .replace("\"zone\": 0", "\"zone\": " + number % ZONES.size());
-            StringBuilder places = new StringBuilder("\"" + name + "\":\"127.0.0.1:" + store + "\"");
+            Map<String, String> members = new TreeMap<>();
+            members.put(name, "127.0.0.1:" + store);
             for (Pooler other : poolers) {
                 if (other != this) {
-                    places.append(",\"" + other.name + "\":\"127.0.0.1:" + ways.get(other.name).port() + "\"");
+                    members.put(other.name, "127.0.0.1:" + ways.get(other.name).port());
                 }
             }
-            process.files(platform, "{\"store\":{\"cluster\":\"" + StoreClients.CLUSTER + "\",\"name\":\"" + name
-                    + "\",\"folder\":\"" + folder.resolve(name) + "\",\"audit\":\"" + setting.audit() + "\",\"listen\":\"127.0.0.1:" + store + "\",\"members\":{"
-                    + places + "}}}");
+            PoolerFiles.Place place = new PoolerFiles.Place(name, number, poolers.size(), pg, discoveryPort());
+            process.files(PoolerFiles.platform(Files.readString(setting.config()), place, ZONES, list.entries()),
+                    PoolerFiles.operator(place, folder.resolve(name), setting.audit(), members));
         }
 
         void kill() throws IOException, InterruptedException {
             if (!process.runs()) {
                 return;
             }
-            boolean leads = name.equals(leader);
+            boolean leads = name.equals(group.leader());
             operators.fault(leads);
             downSince.put(name, System.currentTimeMillis());
             process.kill();
             discoveryLog.said(name + " was killed");
             if (setting.lyingDisks()) {
-                forget();
+                PoolerFiles.forget(folder.resolve(name));
             }
         }
 
@@ -151,22 +121,9 @@
             }
         }
 
-        /** What a disk that lied about its forces would have kept. */
-        private void forget() throws IOException {
-            try (Stream<Path> files = Files.list(folder.resolve(name))) {
-                Path last = files.filter(f -> f.getFileName().toString().startsWith("history")).sorted()
-                        .reduce((a, b) -> b).orElse(null);
-                if (last != null) {
-                    try (FileChannel channel = FileChannel.open(last, StandardOpenOption.WRITE)) {
-                        channel.truncate(channel.size() / 2);
-                    }
-                }
-            }
-        }
-
         void start() throws IOException {
             if (!process.runs()) {
-                adopted = 0;
+                group.started(name);
                 Long since = downSince.remove(name);
                 if (since != null) {
                     book.down(name, since, System.currentTimeMillis());
@@ -179,41 +136,6 @@
         }
     }
 
-    /** What discovery does with one pooler's calls, for the judge and the log. */
-    private final class Told implements NodeList.Told {
-        private final String pooler;
-
-        Told(String pooler) {
-            this.pooler = pooler;
-        }
-
-        @Override
-        public void answered(List<String> draining, long at) {
-            drains.answered(pooler, draining, at);
-        }
-
-        @Override
-        public void watched() {
-            drains.watched(pooler);
-        }
-
-        @Override
-        public void said(String line) {
-            discoveryLog.said(pooler + " " + line);
-        }
-    }
-
-    /** Hears what happens while a drill runs; times in Unix milliseconds. */
-    public interface Watcher {
-        /** A db node ran a statement that came from a pooler. */
-        default void ran(String node, String pooler, long at) {
-        }
-
-        /** A pooler wrote a line to its log. */
-        default void line(String pooler, String line, long at) {
-        }
-    }
-
     private record Due(long at, long order, Step step, boolean undo) {}
 
     private final Setting setting;
@@ -227,14 +149,15 @@
     private final List<Pooler> poolers = new ArrayList<>();
     private final StoreClients operators;
     private final SqlClients clients;
+    private final NodeFaults nodeFaults;
+    private final LinkFaults linkFaults;
     private final Histogram recoveries = new ConcurrentHistogram(60_000_000, 3);
-    private final Set<Integer> terms = new ConcurrentSkipListSet<>();
     private final Map<String, Long> downSince = new TreeMap<>();
     private final Map<Step.Kind, Integer> done = new EnumMap<>(Step.Kind.class);
     private final List<Step> course = new ArrayList<>();
     private final List<String> unclean = new ArrayList<>();
-    private volatile String leader, pointMet;
-    private volatile Watcher watcher = new Watcher() { };
+    private final GroupLog group;
+    private volatile DrillWatcher watcher = new DrillWatcher() { };
     private volatile boolean over;
     private final Stall stall = new Stall(() -> over);
 
@@ -247,24 +170,11 @@
                 rules.overloadMultiple(), rules.overloadMicros() / 1000));
         drains = new Drains(IntStream.range(0, scenario.poolers()).mapToObj(i -> "p" + i).toList(), timing);
         discoveryQueue = new CallQueue(setting.seed());
-        nodes = new DbNodes(scenario.groups(), new DbNodes.Seen() {
-            @Override
-            public void ran(DbNodes.DbNode node, String pooler, Map<String, String> fields, boolean write) {
-                book.ran(fields.getOrDefault("id", "?"), node.id);
-                watcher.ran(node.id, pooler, System.currentTimeMillis());
-            }
-
-            @Override
-            public void came(DbNodes.DbNode node, String pooler, Map<String, String> fields, long at) {
-                timing.came(node.id, pooler, fields.getOrDefault("id", "?"), at);
-            }
-        });
-        Map<String, String> places = new TreeMap<>();
+        nodes = new DbNodes(scenario.groups(), new Arrivals(book, timing, (node, pooler, at) -> watcher.ran(node, pooler, at)));
         // Held until the proxies have theirs.
         try (Scratch.Ports ports = new Scratch.Ports(2 * scenario.poolers())) {
             for (int i = 0; i < scenario.poolers(); i++) {
                 poolers.add(new Pooler(i, ports.get(2 * i), ports.get(2 * i + 1)));
-                places.put("p" + i, "127.0.0.1:" + ports.get(2 * i));
             }
             for (Pooler from : poolers) {
                 for (Pooler to : poolers) {
@@ -274,7 +184,12 @@
                 }
             }
         }
-        operators = new StoreClients(places, setting.seed());
+        operators = new StoreClients(places(), setting.seed());
+        group = new GroupLog(operators.checker);
+        nodeFaults = new NodeFaults(poolers.stream().map(p -> p.list).toList(), timing, drains, discoveryLog);
+        Map<String, Map<String, FaultProxy>> ways = new TreeMap<>();
+        poolers.forEach(p -> ways.put(p.name, p.ways));
+        linkFaults = new LinkFaults(ways, timing);
         clients = new SqlClients(book, timing, scenario.groups());
         for (Pooler pooler : poolers) {
             pooler.files();
@@ -282,7 +197,7 @@
     }
 
     /** Has somebody hear what happens; before {@link #start}. */
-    public void watch(Watcher by) {
+    public void watch(DrillWatcher by) {
         watcher = by;
     }
 
@@ -306,20 +221,6 @@
         return places;
     }
 
-    private interface Holds {
-        boolean now() throws IOException;
-    }
-
-    private void await(String what, int withinSeconds, Holds holds) throws IOException, InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(withinSeconds);
-        while (!holds.now()) {
-            if (System.nanoTime() > end) {
-                throw new IOException("not in " + withinSeconds + " s: " + what);
-            }
-            Thread.sleep(20);
-        }
-    }
-
     /** Starts all and waits until the group is founded and each pooler takes clients. */
     public void start() throws IOException, InterruptedException {
         if (!setting.launcher().isEmpty()) {
@@ -331,9 +232,9 @@
         if (!setting.launcher().isEmpty()) {
             Threads.start("tends p0", this::tend);
         }
-        await("the group is founded", WITHIN_SECONDS, () -> operators.read() >= 0);
+        Await.until("the group is founded", WITHIN_SECONDS, () -> operators.read() >= 0);
         for (Pooler pooler : poolers) {
-            await(pooler.name + " takes clients", WITHIN_SECONDS, () -> SqlClients.takes(pooler.pg));
+            Await.until(pooler.name + " takes clients", WITHIN_SECONDS, () -> SqlClients.takes(pooler.pg));
         }
         operators.start(OPERATORS, setting.paceMillis());
         for (Pooler pooler : poolers) {
@@ -357,7 +258,7 @@
 
     /** The log's line of the point at which something went wrong, or null where it was not met. */
     public String pointMet() {
-        return pointMet;
+        return group.pointMet();
     }
 
     /** Lets operators put for so long. */
@@ -395,7 +296,7 @@
     }
 
     private Step named(Step step) {
-        String now = leader == null ? "p0" : leader;
+        String now = group.leader() == null ? "p0" : group.leader();
         return new Step(step.atMillis(), step.kind(), now, step.to(), step.amount(), step.forMillis());
     }
 
@@ -405,12 +306,12 @@
 
     private void act(Step step, boolean on) throws IOException, InterruptedException {
         if (step.kind().ofNode()) {
-            actOnNode(step, nodes.get(step.who()), on);
+            nodeFaults.act(step, nodes.get(step.who()), on);
             return;
         }
         operators.fault(false);
         if (step.kind().between) {
-            between(step, on);
+            linkFaults.act(step, on);
             return;
         }
         switch (step.kind()) {
@@ -477,86 +378,6 @@
         }
     }
 
-    private void actOnNode(Step step, DbNodes.DbNode node, boolean on) throws IOException {
-        switch (step.kind()) {
-            case NODE_PAUSE -> node.pause(on);
-            case NODE_DRAIN -> drain(node, on);
-            case NODE_SLOW -> node.slow(on ? (long) step.amount() : 0);
-            default -> {
-                if (on && !node.isDead()) {
-                    node.kill();
-                } else if (!on && node.isDead()) {
-                    node.back();
-                    timing.started(node.id, System.currentTimeMillis());
-                    for (Pooler each : poolers) {
-                        each.list.started(node);
-                    }
-                }
-            }
-        }
-    }
-
-    /** The judge knows of a drain's begin before any pooler can, and of its end before any pooler is told otherwise. */
-    private void drain(DbNodes.DbNode node, boolean on) {
-        long now = System.currentTimeMillis();
-        boolean changed = on ? drains.begun(node.id, now) : drains.ended(node.id, now);
-        if (changed) {
-            discoveryLog.said(node.id + (on ? " drains" : " drains no longer"));
-            for (Pooler each : poolers) {
-                each.list.drains(node, on);
-            }
-        }
-    }
-
-    private void between(Step step, boolean on) {
-        Pooler one = pooler(step.who());
-        long now = System.currentTimeMillis();
-        timing.disturbed(step.who(), step.to().startsWith("n") ? step.to() : null, now, now + step.forMillis());
-        Set<String> ends = new HashSet<>();
-        if (step.to().equals(Step.ALL)) {
-            ends.addAll(one.ways.keySet());
-        } else {
-            ends.add(step.to());
-        }
-        for (String end : ends) {
-            FaultProxy mine = one.ways.get(end);
-            apply(step, mine, on, true);
-            if (end.startsWith("p")) {
-                apply(step, pooler(end).ways.get(one.name), on, false);
-            }
-        }
-        if (step.kind() == Step.Kind.FLAP && on) {
-            flap(step, ends);
-        }
-    }
-
-    private void apply(Step step, FaultProxy way, boolean on, boolean mine) {
-        switch (step.kind()) {
-            case CUT, FLAP -> way.cut(on, on);
-            case CUT_THERE -> way.cut(on && mine, on && !mine);
-            case HALF_OPEN -> way.gone(on);
-            case SLOW -> way.slow(on ? (long) step.amount() : 0);
-            case LOSSY -> way.lossy(on ? step.amount() : 0);
-            default -> way.limit(on ? step.amount() : Double.POSITIVE_INFINITY);
-        }
-    }
-
-    /** A link that comes and goes until its step is over. */
-    private void flap(Step step, Set<String> ends) {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(step.forMillis());
-        Threads.start("flap", () -> {
-            for (boolean cut = false; System.nanoTime() < end - TimeUnit.MILLISECONDS.toNanos((long) step.amount()); cut = !cut) {
-                Thread.sleep((long) step.amount() / 2);
-                for (String other : ends) {
-                    apply(step, pooler(step.who()).ways.get(other), cut, true);
-                    if (other.startsWith("p")) {
-                        apply(step, pooler(other).ways.get(step.who()), cut, false);
-                    }
-                }
-            }
-        });
-    }
-
     /** All that was done is undone, and all poolers act on what holds. */
     private void mend() throws IOException, InterruptedException {
         overload(false);
@@ -575,7 +396,7 @@
         while (!behind.isEmpty() && System.nanoTime() < start + TimeUnit.SECONDS.toNanos(WITHIN_SECONDS)) {
             Thread.sleep(10);
             for (Pooler pooler : List.copyOf(behind)) {
-                if (pooler.adopted >= wanted) {
+                if (group.adopted(pooler.name) >= wanted) {
                     behind.remove(pooler);
                     if (pooler.process.startedAt() >= start - TimeUnit.MILLISECONDS.toNanos(500)) {
                         recoveries.recordValue((System.nanoTime() - pooler.process.startedAt()) / 1000);
@@ -583,8 +404,8 @@
                 }
             }
         }
-        behind.forEach(p -> unclean.add(p.name + " acts on revision " + p.adopted + " " + WITHIN_SECONDS + " s after all was mended, "
-                + wanted + " holds"));
+        behind.forEach(p -> unclean.add(p.name + " acts on revision " + group.adopted(p.name) + " " + WITHIN_SECONDS
+                + " s after all was mended, " + wanted + " holds"));
     }
 
     /** Kills the leader again and again for so long, each time once the last one is back and has caught up. */
@@ -592,16 +413,16 @@
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (System.nanoTime() < end) {
             int tried = operators.tried();
-            await("commits go on", WITHIN_SECONDS, () -> operators.served() && operators.tried() > tried + 5 && leader != null);
-            Pooler one = pooler(leader);
+            Await.until("commits go on", WITHIN_SECONDS, () -> operators.served() && operators.tried() > tried + 5 && group.leader() != null);
+            Pooler one = pooler(group.leader());
             if (!one.process.runs()) {
                 continue;
             }
             done.merge(Step.Kind.KILL, 1, Integer::sum);
             one.kill();
-            await("a new leader serves", WITHIN_SECONDS, operators::served);
+            Await.until("a new leader serves", WITHIN_SECONDS, operators::served);
             one.start();
-            await("caught up", WITHIN_SECONDS, () -> one.adopted >= operators.checker.acknowledged() * 9L / 10);
+            Await.until("caught up", WITHIN_SECONDS, () -> group.adopted(one.name) >= operators.checker.acknowledged() * 9L / 10);
             Thread.sleep(300);
         }
         mend();
@@ -609,79 +430,12 @@
 
     // ---- the verdict ----
 
-    /** What came of it. */
-    public final class Result {
-        private final Book.Verdict requests;
-        private final Timing.Verdict times = timing.verdict();
-        private final List<String> divergent;
-        private final int lostPuts;
-
-        private Result(Book.Verdict requests, List<String> divergent, int lostPuts) {
-            this.requests = requests;
-            this.divergent = divergent;
-            this.lostPuts = lostPuts;
-        }
-
-        public boolean good() {
-            return requests.good() && times.good() && divergent.isEmpty() && lostPuts == 0 && unclean.isEmpty();
-        }
-
-        /** How many requests clients made. */
-        public int requests() {
-            return requests.requests();
-        }
-
-        /** All that was found wrong. */
-        public List<String> findings() {
-            List<String> all = new ArrayList<>(requests.findings());
-            all.addAll(times.findings());
-            all.addAll(divergent);
-            all.addAll(unclean);
-            return all;
-        }
-
-        private int count(Step.Kind... kinds) {
-            return Stream.of(kinds).mapToInt(k -> done.getOrDefault(k, 0)).sum();
-        }
-
-        /** One JSON object; times in milliseconds. */
-        public String json() {
-            return String.format(Locale.ROOT, "{\"poolers\":%d,\"seed\":%d,\"kills\":%d,\"cuts\":%d,\"one_way_cuts\":%d,"
-                    + "\"flaps\":%d,\"slow_links\":%d,\"half_open\":%d,\"pauses\":%d,\"restarts\":%d,\"reloads\":%d,"
-                    + "\"node_faults\":%d,"
-                    + "\"requests\":%d,\"served\":%d,\"refused\":%d,\"failed\":%d,\"lost\":%d,\"doubled\":%d,\"divergent\":%d,"
-                    + "\"unanswered\":%d,\"refused_ran\":%d,\"stale\":%d,\"left\":%d,\"late_after_departure\":%d,\"late_after_drain\":%d,"
-                    + "\"late_unanswered\":%d,\"rig_stall_max_ms\":%d,"
-                    + "\"cold_overrun\":%d,\"restarts_timed\":%d,\"not_ready_10s\":%d,\"drains\":%d,\"silences\":%d,"
-                    + "\"overloads\":%d,\"overload_calls\":%d,\"overload_calls_failed\":%d,"
-                    + "\"unclean\":%d,\"acknowledged\":%d,\"elections\":%d,"
-                    + "\"failovers\":%d,\"failover_p50_ms\":%.0f,\"failover_p99_ms\":%.0f,\"commit_p50_ms\":%.1f,"
-                    + "\"commit_p99_ms\":%.1f,\"recovery_p99_ms\":%.0f}", poolers.size(), setting.seed(),
-                    count(Step.Kind.KILL, Step.Kind.POWER), count(Step.Kind.CUT), count(Step.Kind.CUT_THERE),
-                    count(Step.Kind.FLAP), count(Step.Kind.SLOW, Step.Kind.LIMIT, Step.Kind.LOSSY), count(Step.Kind.HALF_OPEN),
-                    count(Step.Kind.PAUSE), count(Step.Kind.RESTART), count(Step.Kind.RELOAD), count(Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE,
-                    Step.Kind.NODE_SLOW), requests.requests(), requests.count(Book.Ending.SERVED),
-                    requests.count(Book.Ending.REFUSED), requests.count(Book.Ending.FAILED), requests.lost() + lostPuts,
-                    requests.doubled(), divergent.size(), requests.unanswered(), requests.refusedRan(), requests.stale(),
-                    requests.count(Book.Ending.LEFT), times.lateAfterDeparture(), times.lateAfterDrain(), times.lateUnanswered(), stall.longestMillis(), times.coldOverrun(),
-                    times.restarts(), times.notReady(), count(Step.Kind.NODE_DRAIN), count(Step.Kind.LIST_SILENT),
-                    count(Step.Kind.OVERLOAD), discoveryQueue.counts().calls(), discoveryQueue.counts().failed(),
-                    unclean.size(), operators.checker.acknowledged(), terms.size(), operators.failovers.getTotalCount(),
-                    ms(operators.failovers, 50), ms(operators.failovers, 99), ms(operators.commits, 50),
-                    ms(operators.commits, 99), ms(recoveries, 99));
-        }
-    }
-
-    private static double ms(Histogram of, double percentile) {
-        return of.getValueAtPercentile(percentile) / 1000.0;
-    }
-
     /**
      * Ends clients, then daemons, and judges what everybody saw.
      *
      * @param ends whether the daemons' own ends are looked at; else they are just killed
      */
-    public Result judge(boolean ends) throws IOException, InterruptedException {
+    public DrillResult judge(boolean ends) throws IOException, InterruptedException {
         clients.stop();
         operators.stop();
         long last = -1;
@@ -690,7 +444,7 @@
         }
         long end = last;
         try {
-            await("all act on the last revision", WITHIN_SECONDS, () -> poolers.stream().allMatch(p -> p.adopted >= end));
+            Await.until("all act on the last revision", WITHIN_SECONDS, () -> poolers.stream().allMatch(p -> group.adopted(p.name) >= end));
         } catch (IOException e) {
             unclean.add(e.getMessage());
         }
@@ -701,7 +455,10 @@
                 unclean.add(wrong);
             }
         }
-        return new Result(book.verdict(), operators.checker.divergent(), operators.checker.lost(last));
+        DrillResult.Course played = new DrillResult.Course(poolers.size(), setting.seed(), done, discoveryQueue.counts(),
+                stall.longestMillis(), unclean);
+        DrillResult.Group seen = new DrillResult.Group(operators, operators.checker.lost(last), group.elections(), recoveries);
+        return new DrillResult(played, book.verdict(), timing.verdict(), seen);
     }
 
     /** What was done when, as a scenario that replays it. */
--- a/rig/src/main/java/lupinvalve/rig/PointPlay.java
+++ b/rig/src/main/java/lupinvalve/rig/PointPlay.java
@@ -76,7 +76,7 @@
         try {
             drill.start();
             drill.pass(PUTS_MILLIS);
-            Drill.Result result = drill.judge(false);
+            DrillResult result = drill.judge(false);
             findings.addAll(result.findings());
             json = result.json();
             if (!result.good() && findings.isEmpty()) {
--- a/rig/src/main/java/lupinvalve/rig/Timing.java
+++ b/rig/src/main/java/lupinvalve/rig/Timing.java
@@ -110,8 +110,8 @@
             Long gone = left.get(one.id);
             if (gone != null && one.at > gone + DEPARTED && !excused(one, gone)) {
                 departed++;
-                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone) + " ms after its client had gone, at "
-                        + one.at);
+                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone)
+                        + " ms after its client had gone, at " + one.at);
             }
             Optional<Drained> late = drains.getOrDefault(one.node, List.of()).stream().filter(drain -> lateAfter(drain, one)).findFirst();
             if (late.isPresent()) {
--- a/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
+++ b/rig/src/test/java/lupinvalve/rig/ProcessesTest.java
@@ -31,7 +31,7 @@
                 new PrintStream(OutputStream.nullOutputStream()), List.of(), 5, "off"))) {
             drill.start();
             drill.play();
-            Drill.Result result = drill.judge(true);
+            DrillResult result = drill.judge(true);
             assertEquals(List.of(), result.findings(), result.json());
             assertTrue(result.good(), result.json());
         }
@@ -45,7 +45,7 @@
             drill.lateLists("p1", 500);
             drill.start();
             drill.play();
-            Drill.Result result = drill.judge(true);
+            DrillResult result = drill.judge(true);
             assertFalse(result.good(), result.json());
             assertFalse(result.json().contains("\"late_after_drain\":0,"), result.json());
             for (String finding : result.findings()) {
