Tell apart late sends of processes that were started less than 6 s before

late_after_drain counts from when discovery had the change, also for a process that was started since. late_starting says how many of late_unanswered came from a process that had not had its 6 s since its own start; they stay counted as late.

--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -128,6 +128,7 @@
                 if (since != null) {
                     book.down(name, since, System.currentTimeMillis());
                 }
+                timing.poolerStarted(name, System.currentTimeMillis());
                 drains.started(name, System.currentTimeMillis());
                 discoveryLog.said(name + " starts");
                 process.start();
--- a/rig/src/main/java/lupinvalve/rig/Timing.java
+++ b/rig/src/main/java/lupinvalve/rig/Timing.java
@@ -41,6 +41,7 @@
     private final List<Came> came = new ArrayList<>();
     private final List<Span> disturbed = new ArrayList<>();
     private final List<Long> ready = new ArrayList<>();
+    private final Map<String, List<Long>> poolerStarts = new HashMap<>();
 
     public Timing(Rules rules) {
         this.rules = rules;
@@ -67,6 +68,11 @@
         starts.computeIfAbsent(node, n -> new ArrayList<>()).add(at);
     }
 
+    /** A pooler's process was started. */
+    public synchronized void poolerStarted(String pooler, long at) {
+        poolerStarts.computeIfAbsent(pooler, p -> new ArrayList<>()).add(at);
+    }
+
     /** What came meanwhile from a pooler to a db node may have been sent earlier; {@code null} stands for all. */
     public synchronized void disturbed(String pooler, String node, long from, long to) {
         disturbed.add(new Span(pooler, node, from, to + SETTLES));
@@ -82,6 +88,12 @@
                 && (d.node == null || d.node.equals(one.node)) && d.from <= one.at && d.to >= since);
     }
 
+    /** Whether a pooler's process that sent had not had its 6 s since its own start. */
+    private boolean starting(Came one) {
+        long grace = DrainNotice.TOLD_AT_LATEST + rules.drainMillis() + SLACK;
+        return poolerStarts.getOrDefault(one.pooler, List.of()).stream().anyMatch(start -> start <= one.at && one.at <= start + grace);
+    }
+
     private boolean lateAfter(Drained drained, Came one) {
         Span drain = drained.span;
         return drain.pooler.equals(one.pooler) && one.at > drain.from + rules.drainMillis() + SLACK && one.at < drain.to
@@ -92,9 +104,10 @@
      * What was found.
      *
      * @param lateUnanswered those of the late after a drain whose process had not been answered yet when the 6 s had passed
+     * @param lateStarting those of them whose process had been started less than 6 s before, and the grace
      * @param restarts all that were timed
      */
-    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int lateUnanswered, int coldOverrun, int restarts, int notReady,
+    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int lateUnanswered, int lateStarting, int coldOverrun, int restarts, int notReady,
             List<String> findings) {
         public boolean good() {
             return lateAfterDeparture + lateAfterDrain + coldOverrun == 0 && notReady * 10 <= restarts;
@@ -106,6 +119,7 @@
         int departed = 0;
         int drained = 0;
         int unanswered = 0;
+        int starting = 0;
         for (Came one : came) {
             Long gone = left.get(one.id);
             if (gone != null && one.at > gone + DEPARTED && !excused(one, gone)) {
@@ -113,11 +127,13 @@
                 findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone)
                         + " ms after its client had gone, at " + one.at);
             }
-            Optional<Drained> late = drains.getOrDefault(one.node, List.of()).stream().filter(drain -> lateAfter(drain, one)).findFirst();
+            Optional<Drained> late = drains.getOrDefault(one.node, List.of()).stream()
+                    .filter(drain -> lateAfter(drain, one)).findFirst();
             if (late.isPresent()) {
                 drained++;
                 boolean answered = late.get().basis == DrainNotice.Basis.ANSWERED;
                 unanswered += answered ? 0 : 1;
+                starting += answered || !starting(one) ? 0 : 1;
                 findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - late.get().span.from)
                         + " ms after its drain was told" + (answered ? "" : " by the 6 s") + ", at " + one.at);
             }
@@ -127,7 +143,7 @@
         if (late * 10 > ready.size()) {
             findings.add(late + " of " + ready.size() + " restarted poolers were not ready in 10 s");
         }
-        return new Verdict(departed, drained, unanswered, overrun, ready.size(), late, findings);
+        return new Verdict(departed, drained, unanswered, starting, overrun, ready.size(), late, findings);
     }
 
     /** Windows in which a cold db node was sent more than it bears: the busiest of the others shows what one can do. */
--- a/rig/src/test/java/lupinvalve/rig/DrainsTest.java
+++ b/rig/src/test/java/lupinvalve/rig/DrainsTest.java
@@ -65,6 +65,19 @@
         assertEquals(2, late());
     }
 
+    @Test
+    void lateSendsOfAProcessThatStartsAreCountedAndToldApart() {
+        drains.begun("n1", 10_000);
+        drains.started("p0", 11_000);
+        timing.poolerStarted("p0", 11_000);
+        timing.came("n1", "p0", "a", 17_300);
+        timing.came("n1", "p0", "b", 17_301);
+        drains.ended("n1", 20_000);
+        assertEquals(2, late());
+        assertEquals(2, timing.verdict().lateUnanswered());
+        assertEquals(1, timing.verdict().lateStarting());
+    }
+
     @Test
     void oneSendIsCountedOnce() {
         drains.begun("n1", 10_000);
