Tell apart late sends by a silent watch's 6 s from those by the change's

DrainNoticeTest's two cases of a silent watch expect the basis SILENCE in place of LIMIT, the same times.

--- a/rig/src/main/java/lupinvalve/rig/DrainNotice.java
+++ b/rig/src/main/java/lupinvalve/rig/DrainNotice.java
@@ -20,7 +20,9 @@
         /** Discovery wrote the change to the process that runs. */
         ANSWERED,
         /** The six seconds had passed before it did. */
-        LIMIT
+        LIMIT,
+        /** The six seconds since its watch fell silent had passed before it did. */
+        SILENCE
     }
 
     /**
@@ -73,7 +75,8 @@
         for (int i = 0; i < lives.size(); i++) {
             Life life = lives.get(i);
             long to = i + 1 < lives.size() ? lives.get(i + 1).begunAt : at;
-            Basis basis = life.answeredAt <= life.latest ? Basis.ANSWERED : Basis.LIMIT;
+            Basis missed = life.latest < limit ? Basis.SILENCE : Basis.LIMIT;
+            Basis basis = life.answeredAt <= life.latest ? Basis.ANSWERED : missed;
             long from = Math.min(life.answeredAt, life.latest);
             if (from < to) {
                 told.add(new Told(from, to, basis));
--- a/rig/src/main/java/lupinvalve/rig/DrillResult.java
+++ b/rig/src/main/java/lupinvalve/rig/DrillResult.java
@@ -87,10 +87,11 @@
     }
 
     private String timed() {
-        return String.format(Locale.ROOT, "\"late_after_departure\":%d,\"late_after_drain\":%d,\"late_unanswered\":%d,\"late_starting\":%d,"
-                + "\"rig_stall_max_ms\":%d,\"cold_overrun\":%d,\"restarts_timed\":%d,\"not_ready_10s\":%d,\"drains\":%d,"
-                + "\"silences\":%d,\"overloads\":%d,\"overload_calls\":%d,\"overload_calls_failed\":%d",
-                times.lateAfterDeparture(), times.lateAfterDrain(), times.lateUnanswered(), times.lateStarting(), course.stallMillis(),
+        return String.format(Locale.ROOT, "\"late_after_departure\":%d,\"late_after_drain\":%d,\"late_unanswered\":%d,"
+                + "\"late_starting\":%d,\"late_silent\":%d,\"rig_stall_max_ms\":%d,\"cold_overrun\":%d,\"restarts_timed\":%d,"
+                + "\"not_ready_10s\":%d,\"drains\":%d,\"silences\":%d,\"overloads\":%d,\"overload_calls\":%d,"
+                + "\"overload_calls_failed\":%d", times.lateAfterDeparture(), times.lateAfterDrain(), times.lateUnanswered(),
+                times.lateStarting(), times.lateSilent(), course.stallMillis(),
                 times.coldOverrun(), times.restarts(), times.notReady(), count(Step.Kind.NODE_DRAIN),
                 count(Step.Kind.LIST_SILENT), count(Step.Kind.OVERLOAD), course.calls().calls(), course.calls().failed());
     }
--- a/rig/src/main/java/lupinvalve/rig/Timing.java
+++ b/rig/src/main/java/lupinvalve/rig/Timing.java
@@ -88,6 +88,14 @@
                 && (d.node == null || d.node.equals(one.node)) && d.from <= one.at && d.to >= since);
     }
 
+    private static String by(DrainNotice.Basis basis) {
+        return switch (basis) {
+            case ANSWERED -> "";
+            case LIMIT -> " by the 6 s";
+            case SILENCE -> " by the 6 s since its watch fell silent";
+        };
+    }
+
     /** Whether a pooler's process that sent had not had its 6 s since its own start. */
     private boolean starting(Came one) {
         long grace = DrainNotice.TOLD_AT_LATEST + rules.drainMillis() + SLACK;
@@ -105,10 +113,11 @@
      *
      * @param lateUnanswered those of the late after a drain whose process had not been answered yet when the 6 s had passed
      * @param lateStarting those of them whose process had been started less than 6 s before, and the grace
+     * @param lateSilent those of the unanswered whose watch had fallen silent before the drain
      * @param restarts all that were timed
      */
-    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int lateUnanswered, int lateStarting, int coldOverrun, int restarts, int notReady,
-            List<String> findings) {
+    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int lateUnanswered, int lateStarting, int lateSilent, int coldOverrun,
+            int restarts, int notReady, List<String> findings) {
         public boolean good() {
             return lateAfterDeparture + lateAfterDrain + coldOverrun == 0 && notReady * 10 <= restarts;
         }
@@ -120,6 +129,7 @@
         int drained = 0;
         int unanswered = 0;
         int starting = 0;
+        int silent = 0;
         for (Came one : came) {
             Long gone = left.get(one.id);
             if (gone != null && one.at > gone + DEPARTED && !excused(one, gone)) {
@@ -133,9 +143,10 @@
                 drained++;
                 boolean answered = late.get().basis == DrainNotice.Basis.ANSWERED;
                 unanswered += answered ? 0 : 1;
+                silent += late.get().basis == DrainNotice.Basis.SILENCE ? 1 : 0;
                 starting += answered || !starting(one) ? 0 : 1;
                 findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - late.get().span.from)
-                        + " ms after its drain was told" + (answered ? "" : " by the 6 s") + ", at " + one.at);
+                        + " ms after its drain was told" + by(late.get().basis) + ", at " + one.at);
             }
         }
         int overrun = overrun(findings);
@@ -143,7 +154,7 @@
         if (late * 10 > ready.size()) {
             findings.add(late + " of " + ready.size() + " restarted poolers were not ready in 10 s");
         }
-        return new Verdict(departed, drained, unanswered, starting, overrun, ready.size(), late, findings);
+        return new Verdict(departed, drained, unanswered, starting, silent, overrun, ready.size(), late, findings);
     }
 
     /** Windows in which a cold db node was sent more than it bears: the busiest of the others shows what one can do. */
--- a/rig/src/test/java/lupinvalve/rig/DrainNoticeTest.java
+++ b/rig/src/test/java/lupinvalve/rig/DrainNoticeTest.java
@@ -72,8 +72,8 @@
 
     @Test
     void aSilentWatchTellsSixSecondsAfterItFellSilent() {
-        assertEquals(List.of(new Told(DRAIN + 4_000, END, Basis.LIMIT)), new DrainNotice(DRAIN, DRAIN - 2_000).ended(END));
-        assertEquals(List.of(new Told(DRAIN, END, Basis.LIMIT)), new DrainNotice(DRAIN, DRAIN - 20_000).ended(END));
+        assertEquals(List.of(new Told(DRAIN + 4_000, END, Basis.SILENCE)), new DrainNotice(DRAIN, DRAIN - 2_000).ended(END));
+        assertEquals(List.of(new Told(DRAIN, END, Basis.SILENCE)), new DrainNotice(DRAIN, DRAIN - 20_000).ended(END));
         DrainNotice answered = new DrainNotice(DRAIN, DRAIN - 2_000);
         answered.answered(DRAIN + 700);
         assertEquals(List.of(new Told(DRAIN + 700, END, Basis.ANSWERED)), answered.ended(END));
--- a/rig/src/test/java/lupinvalve/rig/DrainsTest.java
+++ b/rig/src/test/java/lupinvalve/rig/DrainsTest.java
@@ -75,6 +75,7 @@
         drains.ended("n1", 20_000);
         assertEquals(2, late());
         assertEquals(2, timing.verdict().lateUnanswered());
+        assertEquals(0, timing.verdict().lateSilent());
         assertEquals(1, timing.verdict().lateStarting());
     }
 
@@ -109,5 +110,6 @@
         timing.came("n1", "p1", "b", 14_000 + LATE);
         drains.ended("n1", 20_000);
         assertEquals(1, late());
+        assertEquals(1, timing.verdict().lateSilent());
     }
 }
