--- a/subscription/src/test/java/lupinvalve/subscription/DecisionsTest.java
+++ b/subscription/src/test/java/lupinvalve/subscription/DecisionsTest.java
@@ -118,7 +118,8 @@
         FollowRequest newer = new FollowRequest(FollowRequest.VERSION + 1, 7, 2, "d", "h", true, false, "o");
         assertEquals("version 2 of following is asked for; this member speaks 1",
                 assertThrows(FollowRequest.Newer.class, () -> FollowRequest.read(newer.write())).getMessage());
-        Map<Change.Holding, Ledger.Held> holds = new TreeMap<>(Map.of(new Change.Holding(Change.Kind.POOLER, "p"), new Ledger.Held("w", 5)));
+        Map<Change.Holding, Ledger.Held> holds = new TreeMap<>();
+        holds.put(new Change.Holding(Change.Kind.POOLER, "p"), new Ledger.Held("w", 5));
         FollowAnswer answer = new FollowAnswer(1, 2, "why", 3, 4, new FollowAnswer.News.None(), holds);
         assertEquals(answer, FollowAnswer.read(answer.write()));
         Ledger.Document whole = document(3, "{}");
@@ -233,7 +234,8 @@
         assertEquals(0, state.acting(), "until its pooler acts on it");
         state.acted(state.heardUpTo());
         DocumentDelta wrong = DocumentDelta.between(one.content(), "{\"a\":3}".getBytes(StandardCharsets.UTF_8));
-        FollowAnswer other = new FollowAnswer(0, 0, "", 20, 0, new FollowAnswer.News.Differences(2, 20, two.digest(), List.of(wrong)), null);
+        FollowAnswer.News differences = new FollowAnswer.News.Differences(2, 20, two.digest(), List.of(wrong));
+        FollowAnswer other = new FollowAnswer(0, 0, "", 20, 0, differences, null);
         assertTrue(state.heard(other, 0, 0, content -> null).wrong().startsWith("revision 2 comes to another digest"));
         assertTrue(state.request().whole() && state.request().revision() == 1 && state.heardUpTo() == 10);
         FollowAnswer good = new FollowAnswer(0, 0, "", 20, 0, new FollowAnswer.News.Whole(two), null);
--- a/subscription/src/test/java/lupinvalve/subscription/SubscriptionSimulationTest.java
+++ b/subscription/src/test/java/lupinvalve/subscription/SubscriptionSimulationTest.java
@@ -18,7 +18,7 @@
     /** Plays one course; what was wrong. */
     private static SubscriptionWorld play(long seed, int subscribers, SubscriptionWorld.Planted planted) {
         SubscriptionWorld world = new SubscriptionWorld(seed, subscribers, planted);
-        Random random = world.random();
+        Random random = world.random;
         world.watch(20_000);
         world.corrupt(random.nextBoolean() ? 0.05 : 0);
         for (int i = 0; i < 16; i++) {
--- a/subscription/src/test/java/lupinvalve/subscription/SubscriptionWorld.java
+++ b/subscription/src/test/java/lupinvalve/subscription/SubscriptionWorld.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import lupinvalve.audit.Lease;
@@ -18,59 +17,25 @@
  * Three members and their subscribers in virtual time, with clocks that drift, messages that come late or never, cuts in one way,
  * processes that stand and restarts. Of the log only what it promises is played: an order of accepted changes that each leader has whole.
  */
-final class SubscriptionWorld {
+final class SubscriptionWorld extends VirtualProcesses {
     /** What is broken on purpose, to see the checker bite. */
     enum Planted { NONE, LEASE_FROM_ANSWER, DIGEST_UNCHECKED, GRANTS_PAST_ITS_OWN, LEADERS_CHANGE_UNHEARD, LET_IN_BEHIND }
 
     /** In force everywhere within this, or fenced. */
     static final long BOUND = 6_000_000;
     private static final Change.Holding HELD = new Change.Holding(Change.Kind.NODE, "n");
-    private static final double RATE_MOST = 0.0024;
     private static final int MEMBERS = 3;
 
     /** One of the accepted changes: the revision and the hold's number after it. */
     private record Accepted(long index, long atMicros, Ledger.Document document, int hold) {}
 
-    private record Event(long at, long order, Process owner, int life, Runnable run) implements Comparable<Event> {
-        @Override
-        public int compareTo(Event other) {
-            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
-        }
-    }
-
-    /** A process with a clock of its own. */
-    private class Process {
-        final String name;
-        final double rate = 1 + (random.nextDouble() * 2 - 1) * RATE_MOST;
-        final long offset = (long) (random.nextDouble() * 1e12);
-        int life;
-        boolean runs = true;
-        long standsUntil;
-
-        Process(String name) {
-            this.name = name;
-        }
-
-        long clock() {
-            return offset + (long) (now * rate);
-        }
-
-        void after(long micros, Runnable run) {
-            events.add(new Event(now + Math.max(0, micros), order++, this, life, run));
-        }
-    }
-
-    private final Random random;
     private final Planted planted;
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final List<Accepted> history = new ArrayList<>();
     private final Map<Long, String> digests = new HashMap<>();
     private final List<Member> members = new ArrayList<>();
     private final List<Subscriber> subscribers = new ArrayList<>();
-    /** Ways that swallow messages, as {@code from>to}. */
-    private final Set<String> cuts = new HashSet<>();
     private final Set<String> findings = new HashSet<>();
-    private long now, order, index;
+    private long index;
     private Member leader;
     private double corrupt;
     /** Counted for the test: how much of what it is about has happened. */
@@ -79,7 +44,7 @@
     long latestMicros;
 
     SubscriptionWorld(long seed, int subscriberCount, Planted planted) {
-        random = new Random(seed);
+        super(seed);
         this.planted = planted;
         for (int i = 0; i < MEMBERS; i++) {
             members.add(new Member("m" + i));
@@ -92,45 +57,6 @@
         subscribers.forEach(one -> one.after((long) (random.nextDouble() * 500_000), one::begin));
     }
 
-    private long delay() {
-        double kind = random.nextDouble();
-        return 100 + (long) (random.nextDouble() * (kind < 0.9 ? 2_000 : kind < 0.99 ? 50_000 : 900_000));
-    }
-
-    /** Carries something from one process to another, unless the way is cut when it is sent or when it comes. */
-    private void send(Process from, Process to, Runnable run) {
-        if (cuts.contains(from.name + ">" + to.name) || random.nextDouble() < 0.001) {
-            return;
-        }
-        events.add(new Event(now + delay(), order++, to, to.life, () -> {
-            if (!cuts.contains(from.name + ">" + to.name)) {
-                run.run();
-            }
-        }));
-    }
-
-    /** Plays until a time. */
-    void play(long until) {
-        while (!events.isEmpty() && events.peek().at() <= until) {
-            Event event = events.poll();
-            now = event.at();
-            Process owner = event.owner();
-            if (owner != null && (owner.life != event.life() || !owner.runs)) {
-                continue;
-            }
-            if (owner != null && owner.standsUntil > now) {
-                events.add(new Event(owner.standsUntil, order++, owner, event.life(), event.run()));
-                continue;
-            }
-            event.run().run();
-        }
-        now = until;
-    }
-
-    void at(long micros, Runnable run) {
-        events.add(new Event(micros, order++, null, 0, run));
-    }
-
     // ---- the group ----
 
     private final class Member extends Process {
@@ -443,29 +369,9 @@
             }
         }
 
-        /** A difference may come to something else, as where member and subscriber started from different contents. */
         private FollowAnswer corrupted(FollowAnswer answer) {
-            if (!(answer.news() instanceof FollowAnswer.News.Differences d) || random.nextDouble() >= corrupt) {
-                return answer;
-            }
-            List<DocumentDelta> steps = new ArrayList<>(d.steps());
-            List<DocumentDelta.Piece> pieces = new ArrayList<>(steps.remove(steps.size() - 1).pieces());
-            pieces.add(new DocumentDelta.Piece(0, 0, new byte[] {'?'}));
-            steps.add(new DocumentDelta(pieces));
-            String digest = d.digest();
-            if (planted == Planted.DIGEST_UNCHECKED) {
-                try {
-                    byte[] content = core == null ? new byte[0] : core.content();
-                    for (DocumentDelta step : steps) {
-                        content = step.apply(content);
-                    }
-                    digest = Ledger.digest(content);
-                } catch (java.io.IOException e) {
-                    return answer;
-                }
-            }
-            return new FollowAnswer(answer.leaseMicros(), answer.heldMicros(), answer.why(), answer.index(), answer.comeBackMillis(),
-                    new FollowAnswer.News.Differences(d.revision(), d.index(), digest, steps), answer.holds());
+            boolean spoils = answer.news() instanceof FollowAnswer.News.Differences && random.nextDouble() < corrupt;
+            return spoils ? SpoiltAnswer.of(answer, core, planted == Planted.DIGEST_UNCHECKED) : answer;
         }
 
         /** What an outsider sees of it now. */
@@ -498,12 +404,6 @@
 
     // ---- faults ----
 
-    void cut(String from, String to, long forMicros) {
-        String way = from + ">" + to;
-        cuts.add(way);
-        at(now + forMicros, () -> cuts.remove(way));
-    }
-
     /** One way between a subscriber or a member and a member. */
     void cutSomething(long forMicros) {
         Process one = random.nextBoolean() ? any(members) : any(subscribers);
@@ -603,12 +503,4 @@
     Set<String> findings() {
         return findings;
     }
-
-    long now() {
-        return now;
-    }
-
-    Random random() {
-        return random;
-    }
 }
