Compute docs/CAPACITY.md for 910 poolers from slopes, with a test of each figure

Cause: the operators plan for 910 poolers before 1,200 databases, and no page tells what of the design carries that.

Change: the module capacity (no I/O in its model; nothing of it in the daemon's jar) computes each table of the page from docs/capacity/slopes.json, the program's constants, the sizes its own encoders give, and two deployments' settings. Measured, computed, guessed and not run are told apart in each line. No scale run is in yet: what only runs give is "not run". Connections to db nodes are computed in virtual time by Pool.settle's rule.

Beside the module: a sub-command in Lab, a dependency in lab/pom.xml, jackson-databind in the parent's list.

--- /dev/null
+++ b/capacity/src/main/java/lupinvalve/capacity/CodeFacts.java
@@ -0,0 +1,62 @@
+package lupinvalve.capacity;
+
+/**
+ * What the program says of itself: its paces and bounds, and the sizes that its own encoders give real messages, in bytes above
+ * TCP without TLS. {@code CodeFactsTest} compares each with the program.
+ */
+final class CodeFacts {
+    /** {@code Replica.HEARTBEAT_SECONDS} at the pace of {@code Pace.FACTOR}. */
+    static final double HEARTBEATS_PER_SECOND = 10;
+    /** {@code Acting.CONFIRM}: with the audit on, the leader asks a majority each 0.1 s whether it still leads. */
+    static final double CONFIRMS_PER_SECOND = 10;
+    /** {@code Peers.BEAT}. */
+    static final double BEATS_PER_SECOND = 2;
+    /** Each of two members dials the other. */
+    static final int CONNECTIONS_PER_PAIR = 2;
+    /** {@code Peers.TAKEN_MOST}: connections that a member takes. */
+    static final int TAKEN_MOST = 64;
+    /** {@code Shared.REFRESH}: how often the leader's pooler tells all of the db nodes. */
+    static final double LISTING_SECONDS = 10;
+    /** {@code Questions.STEP}, after each step of a change of members. */
+    static final double MEMBERSHIP_STEP_SECONDS = 0.05;
+    /** Out, learn, vote, and its place: what a replaced member takes. */
+    static final int CHANGES_PER_REPLACED = 4;
+    /** Entries that a member notes for each configuration: adopted, ceased others. */
+    static final int ENTRIES_PER_CHANGE = 2;
+    /** {@code Outbox.BUNDLE}. */
+    static final double BUNDLE_SECONDS = 0.005;
+
+    /** An {@code AppendEntriesRequest} without entries, and what it is answered. */
+    static final int HEARTBEAT = 58, HEARTBEAT_ANSWER = 51;
+    /** A call for a lease, and its answer. */
+    static final int LEASE_CALL = 38, LEASE_ANSWER = 19;
+    /** One session's commit in a bundle. */
+    static final int COMMIT = 25;
+    /** Two audit entries as one change. */
+    static final int NOTED = 222;
+    /** A db node in the group's list, and in discovery's. */
+    static final int LISTED = 53, LIST_ENTRY = 167;
+    /** A word that only says that the connection stands. */
+    static final int BEAT = 5;
+
+    /** {@code Limits.LIMIT_START} and {@code LIMIT_LEAST}: attempts out at a db node, of all poolers together. */
+    static final double LIMIT_START = 16, LIMIT_LEAST = 6;
+    /** {@code Limits.LIMIT_TELLS}: a pooler whose share of the least bound is under this refuses by lot. */
+    static final double LIMIT_TELLS = 2;
+    /** {@code Limits.MEMORY} and {@code NEWEST}: how long an answer counts, and how many make a picture of its own. */
+    static final double MEMORY_SECONDS = 3, ANSWERS_FOR_A_PICTURE = 12;
+    /** {@code Limits.COLD_ALONE}: tries at a cold db node where none is warm, of all poolers together. */
+    static final double COLD_ALONE = 10;
+    /** {@code Health.PROBES_SPARSE}: probes a request where poolers are many. */
+    static final double PROBES_PER_REQUEST = 0.03;
+    /** {@code Router.CHANGE_PROBE_PACE}: a round of one group's members while its primary is missing. */
+    static final double CHANGE_PROBE_SECONDS = 0.15;
+    /** {@code HttpDirectory}: a watch beats so often, is doubted after, and a call may take so long. */
+    static final double WATCH_BEAT_SECONDS = 2, WATCH_DOUBTED_SECONDS = 2.6, CALL_SECONDS = 1.2;
+    /** {@code HttpDirectory.ANSWER_MOST}. */
+    static final double LIST_MOST = 4 << 20;
+    /** A connection rests for 7/10 of the settings' idle time, others for that over the poolers and at least this. */
+    static final double SURPLUS_LEAST_SECONDS = 0.5;
+
+    private CodeFacts() {}
+}
--- /dev/null
+++ b/capacity/src/main/java/lupinvalve/capacity/Metric.java
@@ -0,0 +1,69 @@
+package lupinvalve.capacity;
+
+import java.util.Locale;
+
+/** What a scale run tells; the names in the file are these in small letters. */
+public enum Metric {
+    IN_FORCE_P50_MS("in force, p50", Unit.MILLIS),
+    IN_FORCE_P99_MS("in force, p99", Unit.MILLIS),
+    IN_FORCE_MAX_MS("in force, worst", Unit.MILLIS),
+    CONTROL_CPU_CORE("pooler: processor for control", Unit.CORES),
+    CONTROL_BYTES_PER_S("pooler: bytes for control", Unit.BYTES_PER_SECOND),
+    CONTROL_MESSAGES_PER_S("pooler: messages for control", Unit.PER_SECOND),
+    CONTROL_RSS_MB("pooler: resident memory for control", Unit.MEGABYTES),
+    CONTROL_HEAP_MB("pooler: heap for control", Unit.MEGABYTES),
+    LEADER_CPU_CORE("leader: processor", Unit.CORES),
+    LEADER_BYTES_PER_S("leader: bytes", Unit.BYTES_PER_SECOND),
+    LEADER_MESSAGES_PER_S("leader: messages", Unit.PER_SECOND),
+    LEADER_RSS_MB("leader: resident memory", Unit.MEGABYTES),
+    MEMBER_CPU_CORE("other control member: processor", Unit.CORES),
+    LOG_BYTES("control member: log", Unit.BYTES),
+    SNAPSHOT_BYTES("control member: snapshot", Unit.BYTES),
+    DOCUMENT_BYTES("document", Unit.BYTES),
+    PUT_P99_MS("operator's client: a put acknowledged, p99", Unit.MILLIS),
+    TOLD_MS("until the last pooler knew of a db node's hold", Unit.MILLIS),
+    FAILOVER_MS("until there was another leader", Unit.MILLIS),
+    RACK_READY_MS("a rack's poolers ready again", Unit.MILLIS),
+    HERD_READY_MS("a zone's share of poolers ready again", Unit.MILLIS),
+    REGION_READY_MS("a region's poolers ready again", Unit.MILLIS),
+    JOIN_MS("one pooler joined, median", Unit.MILLIS),
+    JOIN_MAX_MS("one pooler joined, worst", Unit.MILLIS),
+    UNLEASED_OLD_MS("acted on an old version without a lease", Unit.MILLIS);
+
+    private final String words;
+    private final Unit unit;
+
+    Metric(String words, Unit unit) {
+        this.words = words;
+        this.unit = unit;
+    }
+
+    /** As the page says it. */
+    public String words() {
+        return words;
+    }
+
+    /** What it counts. */
+    public Unit unit() {
+        return unit;
+    }
+
+    /** Its name in the file of slopes. */
+    public String key() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** What the operators allow, or NaN where they said nothing and the program sets no bound. */
+    public double budget(Demand demand) {
+        return switch (this) {
+            case IN_FORCE_P99_MS, IN_FORCE_MAX_MS, TOLD_MS -> demand.inForceSeconds() * 1000;
+            case CONTROL_CPU_CORE -> demand.controlCore();
+            case CONTROL_BYTES_PER_S -> demand.controlBytesPerSecond();
+            case CONTROL_RSS_MB -> demand.controlMegabytes();
+            // A member of the group works on one thread.
+            case LEADER_CPU_CORE, MEMBER_CPU_CORE -> 1;
+            case LEADER_BYTES_PER_S -> Assumptions.CONTROL_LINK_BYTES_PER_SECOND;
+            default -> Double.NaN;
+        };
+    }
+}
--- /dev/null
+++ b/capacity/src/main/java/lupinvalve/capacity/RegionFigures.java
@@ -0,0 +1,40 @@
+package lupinvalve.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import lupinvalve.audit.Lease;
+
+/** One control member a region, and what a region that is cut off may do and costs. */
+final class RegionFigures {
+    private static final double MICROS = 1e6, HOUR = 3600;
+    private static final double ENVELOPE = 80;
+    private final Demand d;
+    private final double document;
+
+    RegionFigures(Demand demand, double documentBytes) {
+        d = demand;
+        document = documentBytes;
+    }
+
+    List<Figure> figures() {
+        List<Figure> out = new ArrayList<>();
+        double missed = d.changesPerSecond() * d.cutHours() * HOUR;
+        double difference = document / d.databases() + ENVELOPE;
+        out.add(Figure.of("a change accepted across regions, least", Assumptions.REGIONS_APART_SECONDS, d.inForceSeconds(), Unit.SECONDS,
+                Basis.GUESSED, "one way there and back", "group/Replica.java"));
+        out.add(Figure.of("a cut region's poolers may act with `fence`, at most", Lease.LENGTH / MICROS, d.inForceSeconds(), Unit.SECONDS,
+                Basis.COMPUTED, "`Lease.LENGTH`", "audit/Lease.java"));
+        out.add(Figure.plain("statements refused in the hour with `fence`", d.statementsPerSecond() / d.regions() * (d.cutHours() * HOUR
+                - Lease.LENGTH / MICROS), Unit.COUNT, Basis.COMPUTED, "a third of the statements", "audit/Lease.java"));
+        out.add(Figure.plain("what one of the region's " + Unit.number(Math.floor(d.poolersPerRegion())) + " poolers fetches on return, by differences", Math.min(document, missed * difference), Unit.BYTES,
+                Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
+        out.add(Figure.of("the same within its budget", Math.min(document, missed * difference) / d.controlBytesPerSecond(),
+                d.inForceSeconds(), Unit.SECONDS, Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
+        out.add(Figure.of("a whole document for each of the region's poolers, at its control member",
+                document * d.poolersPerRegion() / Assumptions.CONTROL_LINK_BYTES_PER_SECOND, d.inForceSeconds(), Unit.SECONDS,
+                Basis.GUESSED, "the link is a guess", "subscription/WholeDocuments.java"));
+        out.add(Figure.of("another leader where the leader's region is lost, worst seen", Past.FAILOVER_MOST_SECONDS, d.inForceSeconds(),
+                Unit.SECONDS, Basis.COMPUTED, Past.DRILL_PAGE + ", regions apart not run", "group/Replica.java"));
+        return out;
+    }
+}
--- /dev/null
+++ b/capacity/src/test/java/lupinvalve/capacity/CodeFactsTest.java
@@ -0,0 +1,89 @@
+package lupinvalve.capacity;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Field;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import lupinvalve.Routing;
+import lupinvalve.discovery.ListReader;
+import lupinvalve.replication.MessageSizes;
+import org.junit.jupiter.api.Test;
+
+/** What the page takes from the program itself is what the program says: its constants, and what its encoders make. */
+class CodeFactsTest {
+    private static final double MICROS = 1e6;
+
+    private static double constant(String type, String name) throws ReflectiveOperationException {
+        Field field = Class.forName(type).getDeclaredField(name);
+        field.setAccessible(true);
+        return ((Number) field.get(null)).doubleValue();
+    }
+
+    @Test
+    void theGroupsPacesAndBoundsAreTheProgramsOwn() throws ReflectiveOperationException {
+        String group = "lupinvalve.replication.";
+        assertEquals(CodeFacts.HEARTBEATS_PER_SECOND,
+                constant(group + "Pace", "FACTOR") / constant(group + "Replica", "HEARTBEAT_SECONDS"));
+        assertEquals(CodeFacts.CONFIRMS_PER_SECOND, MICROS / constant(group + "Acting", "CONFIRM"));
+        assertEquals(CodeFacts.BEATS_PER_SECOND, MICROS / constant(group + "Peers", "BEAT"));
+        assertEquals(CodeFacts.TAKEN_MOST, constant(group + "Peers", "TAKEN_MOST"));
+        assertEquals(CodeFacts.MEMBERSHIP_STEP_SECONDS, constant(group + "Questions", "STEP") / MICROS);
+        assertEquals(CodeFacts.BUNDLE_SECONDS, constant("lupinvalve.ledger.Outbox", "BUNDLE") / MICROS);
+    }
+
+    @Test
+    void theDecisionsBoundsAreTheProgramsOwn() throws ReflectiveOperationException {
+        assertEquals(CodeFacts.LIMIT_START, constant("lupinvalve.Limits", "LIMIT_START"));
+        assertEquals(CodeFacts.LIMIT_LEAST, constant("lupinvalve.Limits", "LIMIT_LEAST"));
+        assertEquals(CodeFacts.LIMIT_TELLS, constant("lupinvalve.Limits", "LIMIT_TELLS"));
+        assertEquals(CodeFacts.MEMORY_SECONDS, constant("lupinvalve.Limits", "MEMORY") / MICROS);
+        assertEquals(CodeFacts.ANSWERS_FOR_A_PICTURE, constant("lupinvalve.Limits", "NEWEST"));
+        assertEquals(CodeFacts.COLD_ALONE, constant("lupinvalve.Limits", "COLD_ALONE"));
+        assertEquals(CodeFacts.PROBES_PER_REQUEST, constant("lupinvalve.Health", "PROBES_SPARSE"));
+        assertEquals(CodeFacts.CHANGE_PROBE_SECONDS, constant("lupinvalve.Router", "CHANGE_PROBE_PACE") / MICROS);
+        assertEquals(CodeFacts.SURPLUS_LEAST_SECONDS, constant("lupinvalve.net.Pool", "SURPLUS_LEAST") / MICROS);
+    }
+
+    @Test
+    void discoverysPacesAreTheProgramsOwn() throws ReflectiveOperationException {
+        String directory = "lupinvalve.discovery.HttpDirectory";
+        assertEquals(CodeFacts.WATCH_DOUBTED_SECONDS, constant(directory, "WATCH_DOUBTED") / MICROS);
+        assertEquals(CodeFacts.CALL_SECONDS, constant(directory, "CALL") / MICROS);
+        assertEquals(CodeFacts.LIST_MOST, constant(directory, "ANSWER_MOST"));
+    }
+
+    @Test
+    void theListsPaceIsThatOfTheSharedPooler() throws Exception {
+        String shared = Files.readString(Path.of("daemon/src/main/java/lupinvalve/cli/Shared.java"));
+        assertTrue(shared.contains("REFRESH = " + String.format("%.0f_000_000", CodeFacts.LISTING_SECONDS)));
+    }
+
+    @Test
+    void theSizesAreThoseOfTheProgramsOwnEncoders() {
+        assertAll(
+                () -> assertEquals(CodeFacts.HEARTBEAT, MessageSizes.heartbeat(), "heartbeat"),
+                () -> assertEquals(CodeFacts.HEARTBEAT_ANSWER, MessageSizes.heartbeatAnswer(), "its answer"),
+                () -> assertEquals(CodeFacts.LEASE_CALL, MessageSizes.leaseCall(), "lease call"),
+                () -> assertEquals(CodeFacts.LEASE_ANSWER, MessageSizes.leaseAnswer(), "its answer"),
+                () -> assertEquals(CodeFacts.COMMIT, MessageSizes.commit(), "commit"),
+                () -> assertEquals(CodeFacts.NOTED, MessageSizes.noted(), "audit entries"),
+                () -> assertEquals(CodeFacts.LISTED, MessageSizes.listed(), "listed db node"),
+                () -> assertEquals(CodeFacts.BEAT, MessageSizes.beat(), "beat"));
+    }
+
+    /** Discovery is not ours: its entry is one in the form that the reader takes, with all fields that it reads. */
+    @Test
+    void theListsEntryIsOneThatTheReaderTakes() throws Exception {
+        String entry = "{\"id\":\"node-1042\",\"host_port\":\"10.17.3.142:5432\",\"locality\":\"region-1-zone-b\",\"cell\":173,"
+                + "\"phase\":\"in_service\",\"rank\":\"replica\",\"size\":1.0,\"up_since_ms\":1796169600000}";
+        String list = "{\"revision\":1,\"complete\":true,\"members\":[" + entry + "]}";
+        ListReader.Listed read = new ListReader(List.of("region-1-zone-b"), null).read(list.getBytes(UTF_8), 0, list.length());
+        assertEquals(Routing.Health.LIVE, read.entries().get(0).member().health());
+        assertEquals(CodeFacts.LIST_ENTRY, entry.length() + 1, "entry and comma");
+    }
+}
--- /dev/null
+++ b/capacity/src/test/java/lupinvalve/capacity/EstimateTest.java
@@ -0,0 +1,55 @@
+package lupinvalve.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import lupinvalve.capacity.Slopes.Design;
+import org.junit.jupiter.api.Test;
+
+/** What is measured, computed and not run, from a fixture that no machine ran. */
+class EstimateTest {
+    private static final double EXACT = 1e-9;
+
+    static Slopes fixture() throws IOException {
+        try (InputStream in = EstimateTest.class.getResourceAsStream("/fixture-slopes.json")) {
+            return Slopes.read(in.readAllBytes());
+        }
+    }
+
+    private static Estimate of(Design design, Metric metric) throws IOException {
+        return Estimate.of(fixture(), design, metric, Demand.OPERATORS);
+    }
+
+    @Test
+    void theWorstRunOfFullSizeIsMeasured() throws IOException {
+        Estimate estimate = of(Design.SUBSCRIPTIONS, Metric.IN_FORCE_P99_MS);
+        assertEquals(1200, estimate.value());
+        assertEquals(Basis.MEASURED, estimate.basis());
+        assertTrue(estimate.from().startsWith("changes, 910 poolers"), estimate.from());
+    }
+
+    @Test
+    void aRunThatFailedLeavesTheSlopeAndTheSizeAtWhichItFails() throws IOException {
+        Estimate estimate = of(Design.MEMBERS, Metric.CONTROL_BYTES_PER_S);
+        assertEquals(91_000, estimate.value());
+        assertEquals(Basis.COMPUTED, estimate.basis());
+        assertEquals(181, estimate.failsAt(), "18,000 are reached at 180");
+    }
+
+    @Test
+    void databasesThatTheRunsLackedAreAdded() throws IOException {
+        Estimate estimate = of(Design.SUBSCRIPTIONS, Metric.CONTROL_CPU_CORE);
+        assertEquals(0.0095 + 0.0091 + 0.08, estimate.value(), EXACT);
+        assertEquals(1, estimate.failsAt(), "over at any number of poolers");
+    }
+
+    @Test
+    void whatNoRunTellsIsNotRun() throws IOException {
+        Estimate estimate = of(Design.SUBSCRIPTIONS, Metric.LEADER_CPU_CORE);
+        assertTrue(Double.isNaN(estimate.value()));
+        assertEquals(Basis.NOT_RUN, estimate.basis());
+        assertEquals(Basis.NOT_RUN, of(Design.MEMBERS, Metric.IN_FORCE_P99_MS).basis(), "one run of 15 poolers makes no line");
+    }
+}
--- /dev/null
+++ b/capacity/src/test/java/lupinvalve/replication/MessageSizes.java
@@ -0,0 +1,90 @@
+package lupinvalve.replication;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.microraft.model.message.RaftMessage;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lupinvalve.Routing;
+import lupinvalve.audit.Entry;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Encoding;
+import lupinvalve.ledger.Identity;
+
+/** What the program's own encoders make of messages as a group of hundreds would send them, in bytes above TCP without TLS. */
+public final class MessageSizes {
+    private static final String NAME = "pooler-0417";
+    private static final long NOW = 1_796_169_600_000_000L, INDEX = 1_250_000, QUERY = 3_400_000;
+    private static final int TERM = 7, MANY = 1000;
+
+    private MessageSizes() {}
+
+    private static Endpoint sender() {
+        return new Endpoint(new Identity(NAME, SegmentedLog.diskName()));
+    }
+
+    private static int sent(RaftMessage message) {
+        return Messages.message(Messages.Kind.RAFT, Models.write(message)).length;
+    }
+
+    /** A leader's word without changes. */
+    public static int heartbeat() {
+        var message = Models.FACTORY.createAppendEntriesRequestBuilder();
+        message.setGroupId(Replica.GROUP).setSender(sender()).setTerm(TERM);
+        message.setPreviousLogTerm(TERM).setPreviousLogIndex(INDEX).setCommitIndex(INDEX).setQuerySequenceNumber(QUERY)
+                .setFlowControlSequenceNumber(QUERY).setLogEntries(List.of());
+        return sent(message.build());
+    }
+
+    /** A follower's answer to it. */
+    public static int heartbeatAnswer() {
+        var message = Models.FACTORY.createAppendEntriesSuccessResponseBuilder();
+        message.setGroupId(Replica.GROUP).setSender(sender()).setTerm(TERM);
+        return sent(message.setLastLogIndex(INDEX).setQuerySequenceNumber(QUERY).setFlowControlSequenceNumber(QUERY).build());
+    }
+
+    /** A call for a lease. */
+    public static int leaseCall() {
+        return new Messages.Call(INDEX, "lease", List.of(NAME.getBytes(UTF_8), Long.toString(INDEX).getBytes(UTF_8), new byte[0]))
+                .write().length;
+    }
+
+    /** What a lease is answered. */
+    public static int leaseAnswer() {
+        return new Messages.Answer(INDEX, Messages.Code.OK, "2000000").write().length;
+    }
+
+    /** One session's commit, by what a thousand of them take. */
+    public static int commit() {
+        Map<String, Long> positions = new HashMap<>();
+        for (int i = 0; i < MANY; i++) {
+            positions.put("session-" + (1_000_000 + i), NOW + i);
+        }
+        return Encoding.write(new Change.Commits(NOW, positions)).length / MANY;
+    }
+
+    /** The two entries that a member notes for one configuration. */
+    public static int noted() {
+        String version = "3800-0011223344556677";
+        Entry adopted = new Entry(NAME, NOW, 17, Entry.What.ADOPTED, version, INDEX, NOW, 20_000, "", "00112233445566778899aabbccddeeff");
+        Entry ceased = new Entry(NAME, NOW, 18, Entry.What.CEASED_OTHERS, version, INDEX, NOW, 20_000, "", adopted.digest());
+        return Encoding.write(new Change.Noted(NAME, NOW, 17, List.of(adopted.write(), ceased.write()))).length;
+    }
+
+    /** One db node in the group's list, by what a thousand take. */
+    public static int listed() {
+        List<Change.Listed> nodes = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            Routing.Member member = new Routing.Member("node-" + (1000 + i), i / 6, i % 7, Routing.Health.LIVE, i % 6 == 0, NOW);
+            nodes.add(new Change.Listed(member, Map.of("pg", "10.17.3." + i % 250 + ":5432"), NOW));
+        }
+        return Encoding.write(new Change.Listing(NOW, nodes)).length / MANY;
+    }
+
+    /** A word that only says that the connection stands. */
+    public static int beat() {
+        return Messages.message(Messages.Kind.BEAT, new byte[0]).length;
+    }
+}
--- a/lab/src/main/java/lupinvalve/lab/Lab.java
+++ b/lab/src/main/java/lupinvalve/lab/Lab.java
@@ -16,7 +16,7 @@
         int run(PrintStream out) throws Exception;
     }
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "disk, faults, process-points, process-drill, audit-drill, store-drill, store-bench or store-cost", handler = SubCommandHandler.class)
+    @Argument(required = true, metaVar = "COMMAND", usage = "disk, faults, process-points, process-drill, audit-drill, store-drill, store-bench, store-cost or capacity", handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "disk", impl = Disk.class),
         @SubCommand(name = "faults", impl = Faults.class),
@@ -25,7 +25,8 @@
         @SubCommand(name = "audit-drill", impl = AuditDrillCommand.class),
         @SubCommand(name = "store-drill", impl = StoreDrill.class),
         @SubCommand(name = "store-bench", impl = StoreBench.class),
-        @SubCommand(name = "store-cost", impl = StoreCost.class)
+        @SubCommand(name = "store-cost", impl = StoreCost.class),
+        @SubCommand(name = "capacity", impl = CapacityCommand.class)
     })
     private Command command;
 
@@ -50,6 +51,7 @@
             err.println("       lab store-drill [--members N] [--seconds N] [--seed N] [--lying-disks] [--only-leader-kills] [--json]");
             err.println("       lab store-bench [--seconds N] [--changes N] [--outstanding N]");
             err.println("       lab store-cost [--requests N]");
+            err.println("       lab capacity [--slopes FILE] [--page FILE] [--check]");
             return 2;
         }
         try {
