Let a group's configuration name its databases, each entry checked

DatabaseTest: without the section's branch in OperatorConfig.read both tests fail with 'databases is unknown or of a wrong kind'.

--- a/config/src/main/java/lupinvalve/config/OperatorConfig.java
+++ b/config/src/main/java/lupinvalve/config/OperatorConfig.java
@@ -13,8 +13,14 @@
  * The operator's file: what is off on the platform. Each part may be absent (null).
  *
  * @param revision of two versions of the shared parts, the one with the higher revision holds everywhere
+ * @param databases that the installation serves; empty where they are not named
  */
-public record OperatorConfig(long revision, Mysql mysql, Store store, DnsSd dnsSd) {
+public record OperatorConfig(long revision, Mysql mysql, Store store, DnsSd dnsSd, List<Database> databases) {
+    /** Without databases. */
+    public OperatorConfig(long revision, Mysql mysql, Store store, DnsSd dnsSd) {
+        this(revision, mysql, store, dnsSd, List.of());
+    }
+
     /** The MySQL front and how db nodes are reached over that protocol. */
     public record Mysql(String listen, String user, String password, int nodePort, String nodeUser,
             String nodePassword, String database) {}
@@ -71,6 +77,7 @@
         Mysql mysql = null;
         Store store = null;
         DnsSd dnsSd = null;
+        List<Database> databases = List.of();
         try (JsonParser in = JSON.createParser(json)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("operator's file: not a JSON object");
@@ -87,13 +94,15 @@
                     store = store(in);
                 } else if (name.equals("dns_sd") && section) {
                     dnsSd = dnsSd(in);
+                } else if (name.equals("databases") && token == JsonToken.START_ARRAY) {
+                    databases = Database.readAll(in);
                 } else {
                     // A section misspelt would stay off without a word.
                     throw new IOException("operator's file: " + name + " is unknown or of a wrong kind");
                 }
             }
         }
-        return new OperatorConfig(revision, mysql, store, dnsSd);
+        return new OperatorConfig(revision, mysql, store, dnsSd, databases);
     }
 
     /** Why a document can't be the configuration that a group keeps, or null: it has no store of its own. */
@@ -150,7 +159,7 @@
         Mysql m = other.mysql;
         return new OperatorConfig(other.revision, m == null || mysql == null ? null
                 : new Mysql(mysql.listen, m.user, m.password, m.nodePort, m.nodeUser, m.nodePassword, m.database),
-                store, other.dnsSd);
+                store, other.dnsSd, other.databases);
     }
 
     private static Mysql mysql(JsonParser in) throws IOException {
--- /dev/null
+++ b/config/src/test/java/lupinvalve/config/DatabaseTest.java
@@ -0,0 +1,50 @@
+package lupinvalve.config;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A group's configuration may name the databases; what is wrong in one entry is told with field and value. */
+class DatabaseTest {
+    private static final String ENTRY = "{\"name\":\"orders\",\"group\":\"g1\",\"zone\":\"z1\",\"primary\":\"10.0.0.1:5432\","
+            + "\"replicas\":[\"10.0.1.1:5432\",\"[fd00::1]:5432\"],\"connection_limit\":40,\"statement_timeout_ms\":30000}";
+
+    private static String objection(String entries) {
+        return OperatorConfig.objection(("{\"databases\":[" + entries + "]}").getBytes(UTF_8));
+    }
+
+    private static void wrong(String from, String to, String told) {
+        assertEquals("operator's file: " + told, objection(ENTRY.replace(from, to)));
+    }
+
+    @Test
+    void databasesAreReadAndStayThroughWhatAGroupAccepts() throws IOException {
+        byte[] document = ("{\"databases\":[" + ENTRY + "]}").getBytes(UTF_8);
+        List<Database> expected = List.of(new Database("orders", "g1", "z1", "10.0.0.1:5432",
+                List.of("10.0.1.1:5432", "[fd00::1]:5432"), 40, 30_000));
+        assertNull(OperatorConfig.objection(document));
+        assertEquals(expected, OperatorConfig.read(document).databases());
+        assertEquals(expected, OperatorConfig.NONE.accepted(document).databases());
+        assertEquals(List.of(), OperatorConfig.read("{}".getBytes(UTF_8)).databases());
+    }
+
+    @Test
+    void whatIsWrongIsToldWithFieldAndValue() {
+        wrong("\"orders\"", "\"or ders\"",
+                "databases[0].name is or ders; 1 to 63 letters, digits, ., - and _ are possible");
+        wrong("\"orders\"", "7", "databases[0].name is 7; not a text");
+        wrong("\"name\":\"orders\",", "", "databases[0].name is missing");
+        wrong("\"10.0.0.1:5432\"", "\"10.0.0.1\"", "databases[0].primary is 10.0.0.1; no address with a port");
+        wrong("\"10.0.1.1:5432\"", "\"x\"", "databases[0].replicas[0] is x; no address with a port");
+        wrong("40", "-1", "databases[0].connection_limit is -1; 0 to 100000 are possible");
+        wrong("40", "100001", "databases[0].connection_limit is 100001; 0 to 100000 are possible");
+        wrong("30000", "\"soon\"", "databases[0].statement_timeout_ms is soon; 0 to 86400000 are possible");
+        wrong("\"zone\"", "\"zones\"", "databases[0].zones is unknown");
+        assertEquals("operator's file: databases[1].name is orders; named twice", objection(ENTRY + "," + ENTRY));
+        assertEquals("operator's file: databases[0] is 3; not an object", objection("3"));
+    }
+}
