Add the scale run: hollow poolers beside real control members, measured and judged

Net counts its bytes by MINA's own sums, FaultProxy lets a tap see what it passes on, DaemonProcess takes a heap's size, RevisionChecker is public.

--- a/group/src/main/java/lupinvalve/replication/Group.java
+++ b/group/src/main/java/lupinvalve/replication/Group.java
@@ -213,6 +213,11 @@
         return leading;
     }
 
+    /** What has gone over this member's connections; from any thread. */
+    public Net.Traffic traffic() {
+        return net.traffic();
+    }
+
     /** Keys and certificates as the files have them now; from any thread. Throws where they can't be used. */
     @Override
     public void reload() throws IOException {
--- a/lab/src/main/java/lupinvalve/lab/Lab.java
+++ b/lab/src/main/java/lupinvalve/lab/Lab.java
@@ -16,7 +16,16 @@
         int run(PrintStream out) throws Exception;
     }
 
-    @Argument(required = true, metaVar = "COMMAND", usage = "disk, faults, process-points, process-drill, audit-drill, store-drill, store-bench or store-cost", handler = SubCommandHandler.class)
+    /** What the command line says can't be done; told in one line. */
+    static final class BadInput extends Exception {
+        private static final long serialVersionUID = 1;
+
+        BadInput(String message) {
+            super(message);
+        }
+    }
+
+    @Argument(required = true, metaVar = "COMMAND", usage = "disk, faults, process-points, process-drill, audit-drill, store-drill, store-bench, store-cost or scale", handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "disk", impl = Disk.class),
         @SubCommand(name = "faults", impl = Faults.class),
@@ -25,7 +34,8 @@
         @SubCommand(name = "audit-drill", impl = AuditDrillCommand.class),
         @SubCommand(name = "store-drill", impl = StoreDrill.class),
         @SubCommand(name = "store-bench", impl = StoreBench.class),
-        @SubCommand(name = "store-cost", impl = StoreCost.class)
+        @SubCommand(name = "store-cost", impl = StoreCost.class),
+        @SubCommand(name = "scale", impl = ScaleCommand.class)
     })
     private Command command;
 
@@ -41,6 +51,9 @@
             new CmdLineParser(lab).parseArgument(args);
         } catch (CmdLineException e) {
             err.println("lab: " + e.getMessage());
+            if (args.length > 0 && args[0].equals("scale")) {
+                return 2;
+            }
             err.println("usage: lab disk [--folder FOLDER] [--seconds N] [--batch N] [--json]");
             err.println("       lab faults [--list] [--scenario NAME] [--seed N] [--pairs N] [--at POINT:FAULT] [--planted NAME] [--json]");
             err.println("       lab process-points [--plays N] [--seed N] [--at POINT:FAULT] [--json]");
@@ -50,10 +63,16 @@
             err.println("       lab store-drill [--members N] [--seconds N] [--seed N] [--lying-disks] [--only-leader-kills] [--json]");
             err.println("       lab store-bench [--seconds N] [--changes N] [--outstanding N]");
             err.println("       lab store-cost [--requests N]");
+            err.println("       lab scale [--poolers N] [--databases N] [--daemons N] [--seconds N] [--seed N] [--design NAME] [--load NAME] "
+                    + "[--change-factor X] [--restart-factor X] [--region-delay-ms N] [--slopes FILE [--sizes N,N] [--documents N,N] "
+                    + "[--trial WHAT]] [--keep] [--json]");
             return 2;
         }
         try {
             return lab.command.run(out);
+        } catch (BadInput e) {
+            err.println("lab: " + e.getMessage());
+            return 2;
         } catch (Exception e) {
             err.println("lab: " + e);
             return 1;
--- /dev/null
+++ b/lab/src/main/java/lupinvalve/lab/ScaleCommand.java
@@ -0,0 +1,17 @@
+package lupinvalve.lab;
+
+import java.io.PrintStream;
+import lupinvalve.scale.Scale;
+import lupinvalve.scale.ScaleOptions;
+
+/** The scale run: hundreds of poolers' control code beside real control members, against the operators' budgets. */
+public final class ScaleCommand extends ScaleOptions implements Lab.Command {
+    @Override
+    public int run(PrintStream out) throws Exception {
+        try {
+            return Scale.run(this, out);
+        } catch (BadValue e) {
+            throw new Lab.BadInput("scale: " + e.getMessage());
+        }
+    }
+}
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -184,8 +184,8 @@
         setUp(acceptor.getSessionConfig());
         if (security != null) {
             acceptor.getFilterChain().addLast(SECURITY, security.filter(false));
-            acceptors.add(acceptor);
         }
+        acceptors.add(acceptor);
         acceptor.setHandler(new Handler() {
             @Override
             public void sessionCreated(IoSession session) {
@@ -315,6 +315,22 @@
         return link;
     }
 
+    /** What has gone over all connections since the start, those that are closed included. */
+    public record Traffic(long bytesOut, long bytesIn, long messagesOut) {}
+
+    /** Sums of all connections; from any thread. */
+    public Traffic traffic() {
+        long out = connector.getStatistics().getWrittenBytes();
+        long in = connector.getStatistics().getReadBytes();
+        long messages = connector.getStatistics().getWrittenMessages();
+        for (NioSocketAcceptor acceptor : acceptors) {
+            out += acceptor.getStatistics().getWrittenBytes();
+            in += acceptor.getStatistics().getReadBytes();
+            messages += acceptor.getStatistics().getWrittenMessages();
+        }
+        return new Traffic(out, in, messages);
+    }
+
     /** Closes every connection and listener. */
     public void close() {
         threads.execute(() -> {
--- a/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -22,6 +22,7 @@
     private final Consumer<String> lines;
     /** The class that is started; the program's own unless a launcher stands before it. */
     private final List<String> main = new ArrayList<>(List.of("lupinvalve.cli.Main"));
+    private int heapMegabytes = 64;
     private Process process;
     private boolean paused;
     private volatile long startedAt;
@@ -41,6 +42,16 @@
         main.addAll(command);
     }
 
+    /** How much heap its next starts may take. */
+    public void heap(int megabytes) {
+        heapMegabytes = megabytes;
+    }
+
+    /** The process's id; once it was started. */
+    public long pid() {
+        return process.pid();
+    }
+
     /** Writes the files that it starts from. */
     public void files(String platform, String operators) throws IOException {
         Files.writeString(config, platform);
@@ -66,7 +77,7 @@
     public void start() throws IOException {
         startedAt = System.nanoTime();
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-cp",
+                "-Xmx" + heapMegabytes + "m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-cp",
                 System.getProperty("java.class.path")));
         command.addAll(main);
         command.addAll(List.of("serve", "--config", config.toString(), "--operator", operator.toString()));
--- a/rig/src/main/java/lupinvalve/rig/FaultProxy.java
+++ b/rig/src/main/java/lupinvalve/rig/FaultProxy.java
@@ -14,7 +14,22 @@
 
 /** One direction of dialling between two processes: passes bytes on, or does to them what it is told. */
 public final class FaultProxy implements Closeable {
-    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    /** A whole zone's poolers may dial at once. */
+    private static final int BACKLOG = 1024;
+
+    /** Sees the bytes of one direction of one connection that were passed on. */
+    public interface Tap {
+        void passed(byte[] bytes, int count);
+    }
+
+    /** Gives a tap for each direction of each connection. */
+    public interface Taps {
+        /** @param there whether the bytes are of the one who dialled */
+        Tap open(boolean there);
+    }
+
+    private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final Taps taps;
     private final InetSocketAddress to;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     /** Bytes of the one who dials, and those of the one dialled, that are swallowed. */
@@ -24,6 +39,12 @@
     private volatile double breaks, bytesPerSecond = Double.POSITIVE_INFINITY;
 
     public FaultProxy(int port) throws IOException {
+        this(port, there -> (bytes, count) -> { });
+    }
+
+    /** The same; what it passes on is seen by these. */
+    public FaultProxy(int port, Taps taps) throws IOException {
+        this.taps = taps;
         to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         Threads.start("proxy", () -> {
             while (!server.isClosed()) {
@@ -71,6 +92,7 @@
             InputStream in = from.getInputStream();
             OutputStream out = into.getOutputStream();
             byte[] bytes = new byte[16 << 10];
+            Tap tap = taps.open(there);
             for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
                 if (delayMillis > 0) {
                     Thread.sleep(delayMillis);
@@ -89,6 +111,7 @@
                     break;
                 }
                 out.write(bytes, 0, count);
+                tap.passed(bytes, count);
             }
         } finally {
             from.close();
--- a/rig/src/main/java/lupinvalve/rig/RevisionChecker.java
+++ b/rig/src/main/java/lupinvalve/rig/RevisionChecker.java
@@ -10,7 +10,7 @@
  * linearizable where no call that began after another had ended saw less than that one: a put must have come to more,
  * a read to as much; and where each revision has one content, whoever tells of it.
  */
-final class RevisionChecker {
+public final class RevisionChecker {
     private record Call(long began, long ended, long revision, boolean put) {}
 
     private final List<Call> calls = new ArrayList<>();
@@ -19,7 +19,7 @@
     private final List<String> divergent = new ArrayList<>();
 
     /** A put was acknowledged with the revision that it came to. */
-    synchronized void put(long began, long ended, long revision, String digest) {
+    public synchronized void put(long began, long ended, long revision, String digest) {
         calls.add(new Call(began, ended, revision, true));
         String other = acknowledged.putIfAbsent(revision, digest);
         if (other != null) {
@@ -29,7 +29,7 @@
     }
 
     /** A read came back. */
-    synchronized void read(long began, long ended, long revision, String digest) {
+    public synchronized void read(long began, long ended, long revision, String digest) {
         calls.add(new Call(began, ended, revision, false));
         if (revision > 0) {
             content(revision, digest, "a reader");
@@ -37,7 +37,7 @@
     }
 
     /** A member acts on a revision. */
-    synchronized void adopted(String member, long revision, String digest) {
+    public synchronized void adopted(String member, long revision, String digest) {
         content(revision, digest, member);
     }
 
@@ -48,18 +48,18 @@
         }
     }
 
-    synchronized int acknowledged() {
+    public synchronized int acknowledged() {
         return acknowledged.size();
     }
 
     /** Acknowledged puts that the end does not know of. */
-    synchronized int lost(long last) {
+    public synchronized int lost(long last) {
         return (int) acknowledged.entrySet().stream().filter(one -> one.getKey() > last
                 || !one.getValue().equals(contents.get(one.getKey()))).count();
     }
 
     /** What members or clients saw that does not fit one history. */
-    synchronized List<String> divergent() {
+    public synchronized List<String> divergent() {
         List<String> all = new ArrayList<>(divergent);
         List<Call> ended = new ArrayList<>(calls);
         ended.sort(Comparator.comparingLong(Call::ended));
--- /dev/null
+++ b/scale/src/main/java/lupinvalve/scale/HollowPooler.java
@@ -0,0 +1,78 @@
+package lupinvalve.scale;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.function.Consumer;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.ledger.Change;
+import lupinvalve.ledger.Ledger;
+import lupinvalve.net.Net;
+import lupinvalve.replication.Group;
+
+/** A pooler without fronts and db nodes: the daemon's control code, which reads each configuration as the daemon does. */
+final class HollowPooler implements Group.Pooler {
+    private final String name;
+    private final OpenPlane open;
+    private final Consumer<HostEvent> events;
+    private boolean may;
+
+    HollowPooler(String name, OpenPlane open, Consumer<HostEvent> events) {
+        this.name = name;
+        this.open = open;
+        this.events = events;
+    }
+
+    void start() throws IOException {
+        events.accept(HostEvent.of(HostEvent.What.STARTED, name));
+        open.plane().start(this);
+    }
+
+    void stop() {
+        open.plane().stop();
+        events.accept(HostEvent.of(HostEvent.What.STOPPED, name));
+    }
+
+    Net.Traffic traffic() {
+        return open.traffic().get();
+    }
+
+    /** Tells where the right to act has come or gone since the last look; always from the same thread. */
+    void look() {
+        boolean now = open.plane().mayAct();
+        if (now != may) {
+            may = now;
+            events.accept(HostEvent.of(now ? HostEvent.What.MAY_ACT : HostEvent.What.MAY_NOT, name));
+        }
+    }
+
+    @Override
+    public String objection(byte[] document) {
+        return OperatorConfig.objection(document);
+    }
+
+    @Override
+    public String refusal(byte[] current, byte[] next) {
+        return OperatorConfig.refusal(current, next);
+    }
+
+    @Override
+    public void adopt(Ledger.Document document) {
+        try {
+            // What the daemon does on its core thread.
+            OperatorConfig.NONE.accepted(document.content());
+            events.accept(HostEvent.adopted(name, document.revision(), document.digest()));
+        } catch (IOException e) {
+            events.accept(HostEvent.failed(name, e.getMessage()));
+        }
+    }
+
+    @Override
+    public void holds(Map<Change.Holding, Ledger.Held> holds) {
+        events.accept(HostEvent.holds(name, holds.size()));
+    }
+
+    @Override
+    public void commits(Change.Commits commits) {
+        // Sessions are none of a hollow pooler's.
+    }
+}
