--- a/lab/src/test/java/lupinvalve/lab/LabTest.java
+++ b/lab/src/test/java/lupinvalve/lab/LabTest.java
@@ -31,4 +31,27 @@
         assertEquals(2, Lab.run(new String[] {"dusk"}, System.out, new PrintStream(err)));
         assertTrue(err.toString().contains("usage: lab disk"));
     }
+
+    private static String refused(String... options) {
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        String[] line = new String[options.length + 1];
+        line[0] = "scale";
+        System.arraycopy(options, 0, line, 1, options.length);
+        assertEquals(2, Lab.run(line, System.out, new PrintStream(err)));
+        assertEquals(1, err.toString().lines().count(), err.toString());
+        return err.toString();
+    }
+
+    @Test
+    void whatAScaleRunCantDoIsToldInOneLineWithOptionAndValue() {
+        assertTrue(refused("--poolers", "many").contains("\"many\" is not a valid value for \"--poolers\""));
+        assertTrue(refused("--poolers", "0").contains("--poolers is 0; 1 to 2000 are possible"));
+        assertTrue(refused("--seconds", "4").contains("--seconds is 4"));
+        assertTrue(refused("--daemons", "6").contains("--daemons is 6"));
+        assertTrue(refused("--design", "mesh").contains("--design is mesh; members, subscriptions are possible"));
+        assertTrue(refused("--load", "none").contains("--load is none"));
+        assertTrue(refused("--change-factor", "-1").contains("--change-factor is -1.0"));
+        assertTrue(refused("--sizes", "5,x").contains("--sizes is 5,x"));
+        assertTrue(refused("--config", "no-such-file").contains("--config is no-such-file"));
+    }
 }
--- /dev/null
+++ b/scale/src/test/java/lupinvalve/scale/FrameMeterTest.java
@@ -0,0 +1,31 @@
+package lupinvalve.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.ByteBuffer;
+import lupinvalve.rig.FaultProxy;
+import org.junit.jupiter.api.Test;
+
+/** Frames are counted by kind however the bytes are cut. */
+class FrameMeterTest {
+    private static byte[] frames() {
+        return ByteBuffer.allocate(9 + 5 + 6).putInt(5).put((byte) 1).put(new byte[4]).putInt(1).put((byte) 4).putInt(2).put((byte) 9)
+                .put((byte) 0).array();
+    }
+
+    @Test
+    void countsAreTheSameForEachCut() {
+        for (int size = 1; size <= frames().length; size++) {
+            FrameMeter meter = new FrameMeter();
+            FaultProxy.Tap tap = meter.open(true);
+            for (int at = 0; at < frames().length; at += size) {
+                byte[] piece = java.util.Arrays.copyOfRange(frames(), at, Math.min(frames().length, at + size));
+                tap.passed(piece, piece.length);
+            }
+            assertEquals(new FrameMeter.Sums(1, 9), meter.of(FrameMeter.Kind.RAFT));
+            assertEquals(new FrameMeter.Sums(1, 5), meter.of(FrameMeter.Kind.BEAT));
+            assertEquals(new FrameMeter.Sums(1, 6), meter.of(FrameMeter.Kind.OTHER));
+            assertEquals(new FrameMeter.Sums(3, 20), meter.all());
+        }
+    }
+}
