--- a/capacity/src/main/java/lupinvalve/capacity/FailureTable.java
+++ b/capacity/src/main/java/lupinvalve/capacity/FailureTable.java
@@ -58,9 +58,11 @@
     }
 
     private void region(Table table, String lease) {
-        row(table, "a region cut off for an hour", "now and then", "its poolers' leases end within " + lease + " (computed)",
-                "`fence`: all its statements refused; `serve`: it goes on with what it has, and strict changes promise the lease's end only; "
-                        + Unit.number(d.changesPerSecond() * d.cutHours() * 3600) + " changes missed (computed)", Metric.REGION_READY_MS);
+        String spent = "`fence`: all its statements refused; `serve`: it goes on with what it has, and strict changes promise the lease's "
+                + "end only; " + Unit.number(d.changesPerSecond() * d.cutHours() * 3600) + " changes missed (computed)";
+        String restarted = "an hour not run; its poolers restarted at once: ";
+        table.row("a region cut off for an hour", "now and then", "its poolers' leases end within " + lease + " (computed)", spent,
+                restarted + run(Design.MEMBERS, Metric.REGION_READY_MS), restarted + run(Design.SUBSCRIPTIONS, Metric.REGION_READY_MS));
     }
 
     private void leader(Table table) {
