--- a/capacity/src/main/java/lupinvalve/capacity/CapacityModel.java
+++ b/capacity/src/main/java/lupinvalve/capacity/CapacityModel.java
@@ -65,8 +65,8 @@
     }
 
     private Table worstByPlace() {
-        Table table = new Table("places", List.of("place", "worst that is no guess, each pooler a member", "ratio", "known by", "worst, with subscriptions",
-                "ratio", "known by"));
+        Table table = new Table("places", List.of("place", "worst that is no guess, each pooler a member", "ratio", "known by",
+                "worst, with subscriptions", "ratio", "known by"));
         for (Place place : places) {
             Figure members = worst(place, Figure.Scope.MEMBERS);
             Figure followed = worst(place, Figure.Scope.SUBSCRIPTIONS);
@@ -78,7 +78,8 @@
     private static Figure worst(Place place, Figure.Scope design) {
         return place.figures().stream().filter(figure -> figure.scope() == design || figure.scope() == Figure.Scope.BOTH)
                 .filter(figure -> !Double.isNaN(figure.ratio()))
-                .max(Comparator.comparing((Figure figure) -> figure.basis() != Basis.GUESSED).thenComparingDouble(Figure::ratio)).orElse(null);
+                .max(Comparator.comparing((Figure figure) -> figure.basis() != Basis.GUESSED).thenComparingDouble(Figure::ratio))
+                .orElse(null);
     }
 
     private static String words(Figure figure) {
--- a/capacity/src/main/java/lupinvalve/capacity/ConnectionFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/ConnectionFigures.java
@@ -45,8 +45,8 @@
 
     /** All 910 poolers, with connections closed sooner. */
     Table closingSooner() {
-        Table table = new Table("closing-sooner", List.of("closed after", "connections at a db node (once in 1,000)", "handshakes at a db node",
-                "cores for them, from the cheapest to the dearest", "requests that wait for one"));
+        Table table = new Table("closing-sooner", List.of("closed after", "connections at a db node (once in 1,000)",
+                "handshakes at a db node", "cores for them, from the cheapest to the dearest", "requests that wait for one"));
         for (double rest : RESTS) {
             RestingConnections.Outcome outcome = play(d.poolers(), rest);
             table.row(Unit.SECONDS.words(rest), connections(outcome, d.poolers()), handshakes(outcome), cores(outcome),
--- a/capacity/src/main/java/lupinvalve/capacity/DatabaseFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/DatabaseFigures.java
@@ -17,8 +17,8 @@
         out.add(Figure.plain("statements of a pooler at a db node", d.statementsPerPair(), Unit.PER_SECOND, Basis.COMPUTED,
                 "the demand alone", ""));
         out.add(new Figure("least bound on attempts out at a db node, all poolers' summed", d.poolers(), CodeFacts.LIMIT_START,
-                Unit.COUNT, CodeFacts.LIMIT_START + 1, "poolers", Basis.COMPUTED, "each may have one out; `Limits.LIMIT_START` is meant for all",
-                "decisions/Limits.java"));
+                Unit.COUNT, CodeFacts.LIMIT_START + 1, "poolers", Basis.COMPUTED,
+                "each may have one out; `Limits.LIMIT_START` is meant for all", "decisions/Limits.java"));
         out.add(picture());
         out.add(Figure.of("the last of all poolers to find it out, in the mean", lastToLearn(d), d.primaryChangeSeconds(), Unit.SECONDS,
                 Basis.COMPUTED, "random arrivals, each pooler alone", "decisions/Health.java"));
--- a/capacity/src/main/java/lupinvalve/capacity/FailureTable.java
+++ b/capacity/src/main/java/lupinvalve/capacity/FailureTable.java
@@ -74,8 +74,9 @@
 
     private void majority(Table table, String lease) {
         table.row("two of three control members", "as two machines at once", "`cut_off`; leases end within " + lease + " (computed)",
-                "nothing can be changed; with `fence` **all " + Unit.number(d.poolers()) + " poolers refuse** after that, with `serve` all go on",
-                "needs " + Unit.number(Math.floor(d.poolers() / 2.0) + 1) + " of 910 instead (computed)", "not run: as soon as one is back");
+                "nothing can be changed; with `fence` **all " + Unit.number(d.poolers()) + " poolers refuse** after that, with "
+                        + "`serve` all go on", "needs " + Unit.number(Math.floor(d.poolers() / 2.0) + 1) + " of 910 instead (computed)",
+                "not run: as soon as one is back");
     }
 
     private void herd(Table table) {
@@ -87,7 +88,7 @@
     private void primary(Table table) {
         row(table, "a change of primary", "2 a day", "the db set itself within " + Unit.SECONDS.words(Setting.RECIFE.electSeconds().most())
                 + " (settings); a pooler that holds a write within a round, " + Unit.SECONDS.words(CodeFacts.CHANGE_PROBE_SECONDS
-                * Setting.ALMATY.members().most()) + " (computed)", "writes are held and refused with advice; probes by each pooler that holds one",
-                Metric.TOLD_MS);
+                * Setting.ALMATY.members().most()) + " (computed)", "writes are held and refused with advice; probes by each "
+                        + "pooler that holds one", Metric.TOLD_MS);
     }
 }
--- a/capacity/src/main/java/lupinvalve/capacity/GroupFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/GroupFigures.java
@@ -96,8 +96,8 @@
     private Figure leaderBytes() {
         double each = heartbeatBytes() + leaseBytes() + listingBytes() + auditBytes(1);
         return Figure.inProportion("leader: bytes of that with list and audit entries", (d.poolers() - 1) * each,
-                Assumptions.CONTROL_LINK_BYTES_PER_SECOND, Unit.BYTES_PER_SECOND, d.poolers(), Basis.GUESSED, "paces, sizes; the link is a guess",
-                "group/Replica.java");
+                Assumptions.CONTROL_LINK_BYTES_PER_SECOND, Unit.BYTES_PER_SECOND, d.poolers(), Basis.GUESSED,
+                "paces, sizes; the link is a guess", "group/Replica.java");
     }
 
     private Figure kept() {
--- a/capacity/src/main/java/lupinvalve/capacity/PositionFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/PositionFigures.java
@@ -20,8 +20,8 @@
             out.addAll(shared(setting.name() + ": shared as shipped, each write of a session that is named", writes,
                     Figure.Scope.MEMBERS));
         }
-        out.add(Figure.of("both deployments: clients carry their tokens, or sessions stay; nothing need be shared", 0, d.controlBytesPerSecond(),
-                Unit.BYTES_PER_SECOND, Basis.COMPUTED, "`tokens = carried`", "core/Marks.java"));
+        out.add(Figure.of("both deployments: clients carry their tokens, or sessions stay; nothing need be shared", 0,
+                d.controlBytesPerSecond(), Unit.BYTES_PER_SECOND, Basis.COMPUTED, "`tokens = carried`", "core/Marks.java"));
         Setting roaming = Setting.ALMATY;
         double least = d.statementsPerSecond() * roaming.writeShare() * roaming.roamsLeast();
         out.addAll(shared(roaming.name() + ": only sessions that roam, least part of them", least, Figure.Scope.OPTION));
@@ -67,7 +67,8 @@
         double messages = d.statementsPerPooler() * roams;
         double bytes = 2 * messages * (CodeFacts.LEASE_CALL + CodeFacts.LEASE_ANSWER);
         return Figure.of("option: one pooler keeps a roaming session's position, asked each time, " + which + " part", bytes,
-                d.controlBytesPerSecond(), Unit.BYTES_PER_SECOND, Basis.GUESSED, "a call as large as a lease's, asked and answered", "not built")
+                d.controlBytesPerSecond(), Unit.BYTES_PER_SECOND, Basis.GUESSED,
+                "a call as large as a lease's, asked and answered", "not built")
                 .in(Figure.Scope.OPTION);
     }
 }
--- a/capacity/src/main/java/lupinvalve/capacity/PrimaryFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/PrimaryFigures.java
@@ -26,8 +26,8 @@
         }
         out.add(zonesShare(Setting.ALMATY));
         out.add(Figure.of("the last pooler to ask the db set by itself, in the mean, after the longest election",
-                Setting.RECIFE.electSeconds().most() + DatabaseFigures.lastToLearn(d), d.primaryChangeSeconds(), Unit.SECONDS, Basis.COMPUTED,
-                "random arrivals; a pooler that holds no request waits for nothing", "decisions/Primaries.java")
+                Setting.RECIFE.electSeconds().most() + DatabaseFigures.lastToLearn(d), d.primaryChangeSeconds(), Unit.SECONDS,
+                Basis.COMPUTED, "random arrivals; a pooler that holds no request waits for nothing", "decisions/Primaries.java")
                 .in(Figure.Scope.OPTION));
         return out;
     }
@@ -35,8 +35,8 @@
     private Figure atMember(Setting setting) {
         double perSecond = d.poolers() / CodeFacts.CHANGE_PROBE_SECONDS;
         return Figure.of(setting.name() + ": probes at each member while the primary is missing, cores at the dearest",
-                perSecond * setting.probeCoreSeconds().most(), Assumptions.DB_NODE_CORES * Assumptions.OVERHEAD_PART, Unit.CORES, Basis.GUESSED,
-                "each pooler holds requests; the part of a db node is a guess", "decisions/Router.java");
+                perSecond * setting.probeCoreSeconds().most(), Assumptions.DB_NODE_CORES * Assumptions.OVERHEAD_PART, Unit.CORES,
+                Basis.GUESSED, "each pooler holds requests; the part of a db node is a guess", "decisions/Router.java");
     }
 
     private Figure zonesShare(Setting setting) {
--- a/capacity/src/main/java/lupinvalve/capacity/RegionFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/RegionFigures.java
@@ -30,8 +30,9 @@
         out.add(Figure.of("changes missed in the hour, against the differences that a member keeps", missed, RevisionHistory.STEPS_MOST,
                 Unit.COUNT, Basis.COMPUTED, "`RevisionHistory.STEPS_MOST`", "subscription/RevisionHistory.java")
                 .in(Figure.Scope.SUBSCRIPTIONS));
-        out.add(Figure.plain("what one of the region's " + Unit.number(Math.floor(d.poolersPerRegion())) + " poolers fetches on return, by differences", Math.min(document, missed * difference), Unit.BYTES,
-                Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
+        String fetched = "what one of the region's " + Unit.number(Math.floor(d.poolersPerRegion()))
+                + " poolers fetches on return, by differences";
+        out.add(Figure.plain(fetched, Math.min(document, missed * difference), Unit.BYTES, Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
         out.add(Figure.of("those differences within 18 KB/s", Math.min(document, missed * difference) / d.controlBytesPerSecond(),
                 d.inForceSeconds(), Unit.SECONDS, Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
         out.add(Figure.of("a whole document for each of the region's poolers, at its control member",
--- a/capacity/src/main/java/lupinvalve/capacity/RoleFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/RoleFigures.java
@@ -61,7 +61,8 @@
                 "pooler: cores, bytes a second, MB", "leader: cores, bytes a second", "ended"));
         TreeMap<String, Slopes.Run> shown = new TreeMap<>();
         for (Slopes.Run run : slopes.runs()) {
-            String size = String.format(Locale.ROOT, "%s %06d %s %s", run.design(), run.poolers(), run.trial(), run.whole() ? "" : "failed");
+            String size = String.format(Locale.ROOT, "%s %06d %s %s", run.design(), run.poolers(), run.trial(),
+                    run.whole() ? "" : "failed");
             shown.merge(size, run, RoleFigures::tellsMore);
         }
         for (Slopes.Run run : shown.values()) {
--- a/capacity/src/test/java/lupinvalve/capacity/RestingConnectionsTest.java
+++ b/capacity/src/test/java/lupinvalve/capacity/RestingConnectionsTest.java
@@ -36,7 +36,9 @@
 
     @Test
     void theSameSeedGivesTheSame() {
-        assertEquals(RestingConnections.play(2, 0.01, RestingConnections.Rests.of(1), REQUESTS, 7), RestingConnections.play(2, 0.01, RestingConnections.Rests.of(1), REQUESTS, 7));
-        assertTrue(RestingConnections.play(2, 0.01, RestingConnections.Rests.of(1), REQUESTS, 7).atDatabase(910) > 910 * 0.8);
+        RestingConnections.Rests second = RestingConnections.Rests.of(1);
+        RestingConnections.Outcome once = RestingConnections.play(2, 0.01, second, REQUESTS, 7);
+        assertEquals(once, RestingConnections.play(2, 0.01, second, REQUESTS, 7));
+        assertTrue(once.atDatabase(910) > 910 * 0.8);
     }
 }
