--- a/capacity/src/main/java/lupinvalve/capacity/CodeFacts.java
+++ b/capacity/src/main/java/lupinvalve/capacity/CodeFacts.java
@@ -14,7 +14,8 @@
     /** Each of two members dials the other. */
     static final int CONNECTIONS_PER_PAIR = 2;
     /** {@code Peers.TAKEN_MOST}: connections that a member takes. {@code Followers.MOST}: poolers that may follow it. */
-    static final int TAKEN_MOST = 1088, FOLLOWERS_MOST = 1024;
+    static final int TAKEN_MOST = 1088;
+    static final int FOLLOWERS_MOST = 1024;
     /** {@code Shared.REFRESH}: how often the leader's pooler tells all of the db nodes. */
     static final double LISTING_SECONDS = 10;
     /** {@code Questions.STEP}, after each step of a change of members. */
@@ -27,26 +28,29 @@
     static final double BUNDLE_SECONDS = 0.005;
 
     /** An {@code AppendEntriesRequest} without entries, and what it is answered. */
-    static final int HEARTBEAT = 58, HEARTBEAT_ANSWER = 51;
+    static final int HEARTBEAT = 58;
+    static final int HEARTBEAT_ANSWER = 51;
     /** A call for a lease, and its answer. */
-    static final int LEASE_CALL = 38, LEASE_ANSWER = 19;
+    static final int LEASE_CALL = 38;
+    static final int LEASE_ANSWER = 19;
     /** A subscriber's request and its answer with a lease and no news. */
-    static final int FOLLOW = 66, FOLLOW_ANSWER = 32;
+    static final int FOLLOW = 66;
+    static final int FOLLOW_ANSWER = 32;
     /** One session's commit in a bundle. */
     static final int COMMIT = 25;
     /** Two audit entries as one change. */
     static final int NOTED = 222;
     /** A db node in the group's list, and in discovery's. */
-    static final int LISTED = 53, LIST_ENTRY = 167;
+    static final int LISTED = 53;
+    static final int LIST_ENTRY = 167;
     /** A word that only says that the connection stands. */
     static final int BEAT = 5;
 
-    /** {@code Limits.LIMIT_START} and {@code LIMIT_LEAST}: attempts out at a db node, of all poolers together. */
-    static final double LIMIT_START = 16, LIMIT_LEAST = 6;
-    /** {@code Limits.LIMIT_TELLS}: a pooler whose share of the least bound is under this refuses by lot. */
-    static final double LIMIT_TELLS = 2;
+    /** {@code Limits.LIMIT_START}: attempts out at a db node, of all poolers together. */
+    static final double LIMIT_START = 16;
     /** {@code Limits.MEMORY} and {@code NEWEST}: how long an answer counts, and how many make a picture of its own. */
-    static final double MEMORY_SECONDS = 3, ANSWERS_FOR_A_PICTURE = 12;
+    static final double MEMORY_SECONDS = 3;
+    static final double ANSWERS_FOR_A_PICTURE = 12;
     /** {@code Limits.COLD_ALONE}: tries at a cold db node where none is warm, of all poolers together. */
     static final double COLD_ALONE = 10;
     /** {@code Health.PROBES_SPARSE}: probes a request where poolers are many. */
@@ -54,7 +58,9 @@
     /** {@code Router.CHANGE_PROBE_PACE}: a round of one group's members while its primary is missing. */
     static final double CHANGE_PROBE_SECONDS = 0.15;
     /** {@code HttpDirectory}: a watch beats so often, is doubted after, and a call may take so long. */
-    static final double WATCH_BEAT_SECONDS = 2, WATCH_DOUBTED_SECONDS = 2.6, CALL_SECONDS = 1.2;
+    static final double WATCH_BEAT_SECONDS = 2;
+    static final double WATCH_DOUBTED_SECONDS = 2.6;
+    static final double CALL_SECONDS = 1.2;
     /** {@code HttpDirectory.ANSWER_MOST}. */
     static final double LIST_MOST = 4 << 20;
     /** A connection rests for 7/10 of the settings' idle time, others for that over the poolers and at least this. */
--- a/capacity/src/main/java/lupinvalve/capacity/ConfigurationFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/ConfigurationFigures.java
@@ -9,7 +9,8 @@
     /** Revision, change, digest, lease and lengths beside a difference. */
     private static final double ENVELOPE = 80;
     private final Demand d;
-    private final double document, part;
+    private final double document;
+    private final double part;
     private final Basis basis;
     private final String from;
 
--- a/capacity/src/main/java/lupinvalve/capacity/FailureTable.java
+++ b/capacity/src/main/java/lupinvalve/capacity/FailureTable.java
@@ -6,7 +6,8 @@
 
 /** Failures that the operators expect: who notices, after how long, what is spent, when all is in force again. */
 final class FailureTable {
-    private static final double MICROS = 1e6, RACK_POOLERS = 20;
+    private static final double MICROS = 1e6;
+    private static final double RACK_POOLERS = 20;
     private final Demand d;
     private final Slopes slopes;
 
--- a/capacity/src/main/java/lupinvalve/capacity/RegionFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/RegionFigures.java
@@ -7,7 +7,8 @@
 
 /** One control member a region, and what a region that is cut off may do and costs. */
 final class RegionFigures {
-    private static final double MICROS = 1e6, HOUR = 3600;
+    private static final double MICROS = 1e6;
+    private static final double HOUR = 3600;
     private static final double ENVELOPE = 80;
     private final Demand d;
     private final double document;
@@ -32,7 +33,8 @@
                 .in(Figure.Scope.SUBSCRIPTIONS));
         String fetched = "what one of the region's " + Unit.number(Math.floor(d.poolersPerRegion()))
                 + " poolers fetches on return, by differences";
-        out.add(Figure.plain(fetched, Math.min(document, missed * difference), Unit.BYTES, Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
+        out.add(Figure.plain(fetched, Math.min(document, missed * difference), Unit.BYTES, Basis.GUESSED,
+                "one database a change is a guess", "subscription/RevisionHistory.java"));
         out.add(Figure.of("those differences within 18 KB/s", Math.min(document, missed * difference) / d.controlBytesPerSecond(),
                 d.inForceSeconds(), Unit.SECONDS, Basis.GUESSED, "one database a change is a guess", "subscription/RevisionHistory.java"));
         out.add(Figure.of("a whole document for each of the region's poolers, at its control member",
--- a/capacity/src/main/java/lupinvalve/capacity/RestingConnections.java
+++ b/capacity/src/main/java/lupinvalve/capacity/RestingConnections.java
@@ -52,13 +52,16 @@
 
     private static final double ONCE_IN_1000 = 3.09;
     private final SplittableRandom random;
-    private final double perSecond, workSeconds;
+    private final double perSecond;
+    private final double workSeconds;
     private final Rests rests;
     /** When each connection that is in use will rest. */
     private final PriorityQueue<Double> busyUntil = new PriorityQueue<>();
     /** Those that rest; the one used last is the last. */
     private final List<Resting> resting = new ArrayList<>();
-    private double now, area, squares;
+    private double now;
+    private double area;
+    private double squares;
 
     private RestingConnections(double perSecond, double workSeconds, Rests rests, long seed) {
         this.perSecond = perSecond;
--- a/capacity/src/test/java/lupinvalve/capacity/CapacityPageTest.java
+++ b/capacity/src/test/java/lupinvalve/capacity/CapacityPageTest.java
@@ -13,8 +13,9 @@
 
 /** The pages' figures are those that follow from the file of slopes. */
 class CapacityPageTest {
-    private static final Path PAGE = Path.of("docs/CAPACITY.md"), PLACES = Path.of("docs/capacity/places.md"),
-            SLOPES = Path.of("docs/capacity/slopes.json");
+    private static final Path PAGE = Path.of("docs/CAPACITY.md");
+    private static final Path PLACES = Path.of("docs/capacity/places.md");
+    private static final Path SLOPES = Path.of("docs/capacity/slopes.json");
     private static final String MEND = "run: java -jar lab/target/lupinvalve-lab.jar capacity";
 
     private static CapacityModel model() throws IOException {
--- a/capacity/src/test/java/lupinvalve/capacity/CodeFactsTest.java
+++ b/capacity/src/test/java/lupinvalve/capacity/CodeFactsTest.java
@@ -40,8 +40,6 @@
     @Test
     void theDecisionsBoundsAreTheProgramsOwn() throws ReflectiveOperationException {
         assertEquals(CodeFacts.LIMIT_START, constant("lupinvalve.Limits", "LIMIT_START"));
-        assertEquals(CodeFacts.LIMIT_LEAST, constant("lupinvalve.Limits", "LIMIT_LEAST"));
-        assertEquals(CodeFacts.LIMIT_TELLS, constant("lupinvalve.Limits", "LIMIT_TELLS"));
         assertEquals(CodeFacts.MEMORY_SECONDS, constant("lupinvalve.Limits", "MEMORY") / MICROS);
         assertEquals(CodeFacts.ANSWERS_FOR_A_PICTURE, constant("lupinvalve.Limits", "NEWEST"));
         assertEquals(CodeFacts.COLD_ALONE, constant("lupinvalve.Limits", "COLD_ALONE"));
--- a/capacity/src/test/java/lupinvalve/replication/MessageSizes.java
+++ b/capacity/src/test/java/lupinvalve/replication/MessageSizes.java
@@ -18,8 +18,12 @@
 /** What the program's own encoders make of messages as a group of hundreds would send them, in bytes above TCP without TLS. */
 public final class MessageSizes {
     private static final String NAME = "pooler-0417";
-    private static final long NOW = 1_796_169_600_000_000L, INDEX = 1_250_000, QUERY = 3_400_000, REVISION = 3800;
-    private static final int TERM = 7, MANY = 1000;
+    private static final long NOW = 1_796_169_600_000_000L;
+    private static final long INDEX = 1_250_000;
+    private static final long QUERY = 3_400_000;
+    private static final long REVISION = 3800;
+    private static final int TERM = 7;
+    private static final int MANY = 1000;
 
     private MessageSizes() {}
 
--- a/lab/src/test/java/lupinvalve/lab/CapacityCommandTest.java
+++ b/lab/src/test/java/lupinvalve/lab/CapacityCommandTest.java
@@ -26,7 +26,8 @@
     @Test
     void itSaysWhichTableDiffersAndWritesIt(@TempDir Path folder) throws IOException {
         Path page = folder.resolve("page.md");
-        String planted = Files.readString(PAGE).replace("| link of a control machine | 125 MB/s |", "| link of a control machine | 1 B/s |");
+        String planted = Files.readString(PAGE)
+                .replace("| link of a control machine | 125 MB/s |", "| link of a control machine | 1 B/s |");
         Files.writeString(page, planted);
         assertEquals(1, run("capacity", "--page", page.toString(), "--check"));
         assertEquals(page + ": guesses differs\n", out.toString());
