--- a/scale/src/main/java/lupinvalve/scale/HollowHost.java
+++ b/scale/src/main/java/lupinvalve/scale/HollowHost.java
@@ -38,9 +38,9 @@
         this.out = out;
     }
 
-    /** Arguments: the design's word and the cluster's name. */
+    /** Arguments: the design's word and the cluster's name; the variable SCALE_LOG may name a level of the log. */
     public static void main(String[] args) throws IOException, InterruptedException {
-        Log.least(Log.Level.ERROR);
+        Log.least(Log.Level.valueOf(System.getenv().getOrDefault("SCALE_LOG", "ERROR")));
         PrintStream out = new PrintStream(new java.io.FileOutputStream(java.io.FileDescriptor.out), false, StandardCharsets.UTF_8);
         HollowHost host = new HollowHost(Design.valueOf(args[0].toUpperCase(java.util.Locale.ROOT)), args[1], out);
         host.serve(new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)));
--- a/scale/src/main/java/lupinvalve/scale/ScaleRun.java
+++ b/scale/src/main/java/lupinvalve/scale/ScaleRun.java
@@ -19,7 +19,7 @@
 /** One run: brings all up, measures it at rest and under its load, lets it settle, and judges what everybody told. */
 final class ScaleRun implements Closeable {
     private static final long FOUNDED_SECONDS = 30;
-    private static final long UP_SECONDS = 120;
+    private static final long UP_SECONDS = 60;
     private static final long SETTLE_SECONDS = 60;
     private static final long ADD_SECONDS = 30;
     private static final long IDLE_MILLIS_LEAST = 2_000;
