Fill the capacity page from the present design's runs; a line of two points tells nothing

The runs with each pooler a member are in: up to 10 hollow poolers (15 members), then "a group has 15 members at most". Their lines go 91 times beyond them at 910 and are called guesses; the page has the largest run beside them. Found on the real file: lines through two points (residual 0) won over lines through three, and a line without load that falls below zero (idle processor, -0.00104 a pooler) made the processor at 910 0.006 cores, less than at 10. Now lines have three points at least, and one that falls below zero tells nothing. EstimateTest has both cases; the module's 21 tests, LabTest and CapacityCommandTest pass.

--- a/capacity/src/main/java/lupinvalve/capacity/Estimate.java
+++ b/capacity/src/main/java/lupinvalve/capacity/Estimate.java
@@ -18,6 +18,8 @@
 public record Estimate(double value, double failsAt, Basis basis, String from) {
     /** A line this many times beyond its runs is a guess. */
     private static final double FAR = 10;
+    /** A line through two points leaves nothing to judge it by. */
+    private static final int POINTS_LEAST = 3;
     private static final Estimate NOTHING = new Estimate(Double.NaN, Double.NaN, Basis.NOT_RUN, "no run");
 
     /** Works it out for one design. */
@@ -29,12 +31,21 @@
             return measured;
         }
         return slopes.fits().stream().filter(fit -> fit.design() == design && metric.key().equals(fit.metric()))
-                .filter(fit -> fit.per() == Per.POOLER).map(fit -> new Line(slopes, fit, metric, demand))
+                .filter(fit -> fit.per() == Per.POOLER && fit.points() >= POINTS_LEAST).map(fit -> new Line(slopes, fit, metric, demand))
                 .max(Comparator.comparingInt(Line::reach).thenComparing(line -> line.fit.trial() == null)
                         .thenComparing(line -> line.at(demand.poolers())))
                 .map(Line::estimate).orElse(NOTHING);
     }
 
+    /** What the largest run of a design told, at the operators' rate; empty where none did. */
+    static String largest(Slopes slopes, Design design, Metric metric) {
+        return slopes.runs().stream().filter(run -> run.design() == design && run.whole() && run.trial() == null)
+                .filter(run -> !Double.isNaN(run.value(metric)))
+                .max(Comparator.comparingInt(Run::poolers).thenComparingInt(Run::databases)
+                        .thenComparingDouble(run -> atRate(run, metric)))
+                .map(run -> metric.unit().words(atRate(run, metric)) + " (" + run.poolers() + " poolers)").orElse("");
+    }
+
     private static double atRate(Run run, Metric metric) {
         double idle = metric.idle() == null ? Double.NaN : run.value(metric.idle());
         return atRate(run.value(metric), idle, run.factor());
@@ -95,14 +106,14 @@
         }
 
         double at(double poolers) {
-            return atRate(fit.at(poolers) + moreDatabases(), idle == null ? Double.NaN : Math.max(0, idle.at(poolers)), factor());
+            return atRate(fit.at(poolers) + moreDatabases(), idle == null ? Double.NaN : idle.at(poolers), factor());
         }
 
         Estimate estimate() {
             double budget = metric.budget(demand);
             double value = at(demand.poolers());
-            if (value < 0) {
-                return new Estimate(Double.NaN, Double.NaN, Basis.NOT_RUN, "the line through runs up to " + reach()
+            if (value < 0 || idle != null && idle.at(demand.poolers()) < 0) {
+                return new Estimate(Double.NaN, Double.NaN, Basis.NOT_RUN, "a line through runs up to " + reach()
                         + " poolers falls below zero before " + demand.poolers());
             }
             double failsAt = Double.NaN;
--- a/capacity/src/main/java/lupinvalve/capacity/RoleFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/RoleFigures.java
@@ -37,15 +37,16 @@
 
     /** Each metric once, members before and subscriptions after; what the page tells by failure is left out. */
     Table beforeAndAfter() {
-        Table table = new Table("before-after", List.of("what", "budget", "members: needed", "ratio", "fails from", "known by",
-                "subscriptions: needed", "ratio", "fails from", "known by"));
+        Table table = new Table("before-after", List.of("what", "budget", "members: largest run", "needed at 910", "ratio",
+                "fails from", "known by", "subscriptions: needed at 910", "ratio", "fails from", "known by"));
         List<Figure> before = figures(Design.MEMBERS);
         List<Figure> after = figures(Design.SUBSCRIPTIONS);
         for (int i = 0; i < before.size(); i++) {
             if (!BY_FAILURE.contains(Metric.values()[i])) {
                 Figure one = before.get(i);
                 Figure other = after.get(i);
-                table.row(one.what(), one.budgetWords(), one.needWords(), one.ratioWords(), Table.failsFrom(one), known(one),
+                table.row(one.what(), one.budgetWords(), Estimate.largest(slopes, Design.MEMBERS, Metric.values()[i]),
+                        one.needWords(), one.ratioWords(), Table.failsFrom(one), known(one),
                         other.needWords(), other.ratioWords(), Table.failsFrom(other), known(other));
             }
         }
@@ -53,7 +54,7 @@
     }
 
     private static String known(Figure figure) {
-        return figure.basis() == Basis.NOT_RUN ? figure.basis().word() : figure.basis().word() + ": " + figure.from();
+        return figure.from().equals("no run") ? figure.basis().word() : figure.basis().word() + ": " + figure.from();
     }
 
     /** Of each design and size, with the most databases that it was run with, the run with the worst p99; and what failed. */
--- a/capacity/src/test/java/lupinvalve/capacity/EstimateTest.java
+++ b/capacity/src/test/java/lupinvalve/capacity/EstimateTest.java
@@ -61,6 +61,15 @@
         assertEquals(801, estimate.failsAt(), "0.2 + 800 * 0.01 / 10 is one core");
     }
 
+    @Test
+    void aLineThatFallsBelowZeroOrHasTwoPointsTellsNothing() throws IOException {
+        Estimate estimate = of(Design.MEMBERS, Metric.CONTROL_RSS_MB);
+        assertTrue(Double.isNaN(estimate.value()));
+        assertEquals("a line through runs up to 15 poolers falls below zero before 910", estimate.from());
+        assertEquals(Basis.NOT_RUN, of(Design.MEMBERS, Metric.LOG_BYTES).basis());
+        assertEquals("1,500 B/s (15 poolers)", Estimate.largest(fixture(), Design.MEMBERS, Metric.CONTROL_BYTES_PER_S));
+    }
+
     @Test
     void whatNoRunTellsIsNotRun() throws IOException {
         Estimate estimate = of(Design.SUBSCRIPTIONS, Metric.LEADER_CPU_CORE);
