--- a/scale/src/main/java/lupinvalve/scale/Documents.java
+++ b/scale/src/main/java/lupinvalve/scale/Documents.java
@@ -47,7 +47,8 @@
         try (JsonGenerator out = Json.MAPPER.getFactory().createGenerator(bytes)) {
             out.writeStartObject();
             out.writeObjectFieldStart("mysql");
-            out.writeStringField("user", "u" + number);
+            // Without databases something must differ all the same.
+            out.writeStringField("user", limits.length == 0 ? "u" + number : "portal");
             out.writeEndObject();
             out.writeArrayFieldStart("databases");
             for (int i = 0; i < limits.length; i++) {
--- a/scale/src/main/java/lupinvalve/scale/Fleet.java
+++ b/scale/src/main/java/lupinvalve/scale/Fleet.java
@@ -22,7 +22,9 @@
     private static final long STOP_SECONDS = 20;
     private static final long POLL_MILLIS = 20;
     private static final int FAILURES_MOST = 50;
-    private final Path folder;
+    /** In memory where the system has a place for that: poolers have a disk each, and these would share one. */
+    private static final Path MEMORY = Path.of("/dev/shm");
+    private final Path disks;
     private final Design design;
     private final Links links;
     private final History history;
@@ -37,7 +39,7 @@
     Fleet(int size, Design design, String cluster, Path folder, Links links, History history) throws IOException {
         this.size = size;
         this.design = design;
-        this.folder = folder;
+        disks = Files.isWritable(MEMORY) ? Files.createTempDirectory(MEMORY, "scale") : folder;
         this.links = links;
         this.history = history;
         if (design == Design.MEMBERS) {
@@ -99,7 +101,7 @@
 
     void start(int pooler) throws IOException {
         String name = Topology.pooler(pooler);
-        Path own = folder.resolve(name);
+        Path own = disks.resolve(name);
         Files.createDirectories(own);
         host(pooler).tell(new HostCommand(HostCommand.What.START, name, own.toString(),
                 design == Design.MEMBERS ? "127.0.0.1:" + ports.get(pooler) : null, links.forPooler(pooler)));
@@ -173,7 +175,7 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         List<Thread> ends = new ArrayList<>();
         for (HostProcess host : hosts) {
             Thread end = new Thread(host::close, "ends a host");
@@ -187,5 +189,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        Scratch.delete(disks);
     }
 }
--- a/scale/src/main/java/lupinvalve/scale/ScaleRun.java
+++ b/scale/src/main/java/lupinvalve/scale/ScaleRun.java
@@ -44,6 +44,9 @@
     private int documentBytes;
     private Double herdReadyMs;
 
+    /** Ends what runs where this program is ended from outside. */
+    private final Thread ends = new Thread(this::closeQuietly, "ends a run");
+
     /** Sets all up; nothing but the hosts' processes runs yet. */
     ScaleRun(RunSpec spec, Progress progress) throws IOException {
         this.spec = spec;
@@ -54,6 +57,16 @@
         operator = new Operator(daemons, history);
         documents = new Documents(spec.databases(), new Well19937c(spec.seed()));
         load = new Load(operator, fleet, documents);
+        Runtime.getRuntime().addShutdownHook(ends);
+    }
+
+    private void closeQuietly() {
+        try {
+            daemons.close();
+            fleet.close();
+        } catch (IOException e) {
+            progress.say(String.valueOf(e));
+        }
     }
 
     /** All of it. */
@@ -260,6 +273,7 @@
 
     @Override
     public void close() throws IOException {
+        Runtime.getRuntime().removeShutdownHook(ends);
         load.close();
         if (watch != null) {
             watch.close();
@@ -267,7 +281,7 @@
         fleet.close();
         daemons.close();
         links.close();
-        if (!spec.keep()) {
+        if (!spec.keep() && Files.exists(folder)) {
             Scratch.delete(folder);
         }
     }
--- a/scale/src/main/java/lupinvalve/scale/Slopes.java
+++ b/scale/src/main/java/lupinvalve/scale/Slopes.java
@@ -20,10 +20,12 @@
     private static final String NOTE = "Loopback on one machine beside other work; latencies hold for that, processor time is by process "
             + "counters and includes what compiles the code. Control is the mean hollow pooler: its host's process divided by its "
             + "poolers. In the design members, bytes that members and poolers exchanged past the proxies are booked on the leader, "
-            + "those between poolers too. No TLS.";
+            + "those between poolers too. Hollow poolers' folders are in memory, control members' on the disk. No TLS.";
     private final ScaleOptions options;
     private final PrintStream out;
     private final Progress progress;
+    /** The program's, as it was when the runs began. */
+    private final String commit = commit();
 
     Slopes(ScaleOptions options, PrintStream out) {
         this.options = options;
@@ -79,7 +81,7 @@
     private SlopesFile.Run made(RunSpec spec, RunResult result, String failed) {
         boolean came = result != null;
         return new SlopesFile.Run(spec.design().word(), spec.load().word(), spec.poolers(), spec.databases(), spec.daemons(),
-                spec.seconds(), spec.seed(), spec.changeFactor(), spec.restartFactor(), commit(), options.trial, failed,
+                spec.seconds(), spec.seed(), spec.changeFactor(), spec.restartFactor(), commit, options.trial, failed,
                 came ? result.changes() : null, came ? result.restarts() : null, came ? result.divergent() : null,
                 came ? result.lost() : null, came ? result.unfencedLate() : null, came ? result.over() : null,
                 came ? figures(result.metrics()) : null);
