--- a/scale/src/main/java/lupinvalve/scale/FaultCourse.java
+++ b/scale/src/main/java/lupinvalve/scale/FaultCourse.java
@@ -11,7 +11,7 @@
     private static final String NODE = "n1";
     private static final long SLOW_MILLIS = 150;
     private static final long WITHIN_SECONDS = 60;
-    private static final long LEAST_MILLIS = 2_000;
+    private static final long LEAST_MILLIS = 1_500;
     private static final long MOST_MILLIS = 10_000;
     private static final int SHARE = 14;
     private final Daemons daemons;
--- a/scale/src/test/java/lupinvalve/scale/ScaleRunTest.java
+++ b/scale/src/test/java/lupinvalve/scale/ScaleRunTest.java
@@ -33,4 +33,14 @@
     void fewMembersTakeUpChanges() throws Exception {
         well(run(Design.MEMBERS, Load.Kind.CHANGES, 3, 1, 5));
     }
+
+    @Test
+    void thirtySubscribersAndTwoDaemonsGoThroughAllFaults() throws Exception {
+        RunResult result = run(Design.SUBSCRIPTIONS, Load.Kind.MIXED, 30, 2, 5);
+        well(result);
+        assertTrue(result.metrics().herdReadyMs() > 0);
+        assertTrue(result.metrics().regionReadyMs() > 0);
+        assertTrue(result.metrics().toldMs() > 0);
+        assertTrue(result.metrics().realInForceMaxMs() > 0);
+    }
 }
