--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import lupinvalve.core.Loop;
 import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.IoSession;
 
 /**
@@ -70,6 +71,7 @@
     private long bytesTold, unfinishedSince, writtenAt;
     private boolean rest;
     private long writtenAtRead;
+    private ConnectFuture dialling;
     private long handed;
     private boolean over;
 
@@ -129,6 +131,10 @@
         }
     }
 
+    void dialling(ConnectFuture future) {
+        dialling = future;
+    }
+
     private void post(Runnable work) {
         if (urgent) {
             loop.urgent(work);
@@ -417,14 +423,13 @@
         }
     }
 
-    /**
-     * Closes at once; no further events come. One that is being dialled is closed as it opens, or given up by the connector's own
-     * time limit: cancelled from here, MINA's connector may finish no connection any more.
-     */
+    /** Closes at once; no further events come. */
     public void drop() {
         over = true;
         if (session != null) {
             session.closeNow();
+        } else if (dialling != null) {
+            dialling.cancel();
         }
     }
 }
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -35,8 +35,6 @@
 public final class Net implements Dialer {
     private static final AttributeKey LINK = new AttributeKey(Net.class, "link");
     private static final int BACKLOG = 512;
-    /** After which a connection that is not up is given up, whoever still waits for it. */
-    private static final long CONNECT_MILLIS = 1_500;
     /** Of messages that are not whole: a third of the least heap that a pooler is given. */
     private static final long UNFINISHED_MOST = 14 << 20;
 
@@ -82,7 +80,6 @@
         if (security != null) {
             connector.getFilterChain().addLast(SECURITY, security.filter(true));
         }
-        connector.setConnectTimeoutMillis(CONNECT_MILLIS);
         connector.setHandler(new Handler());
     }
 
@@ -309,6 +306,7 @@
         }
         ConnectFuture future = connector.connect(address, (session, connecting) ->
                 session.setAttribute(LINK, link));
+        link.dialling(future);
         future.addListener(done -> {
             if (future.getException() != null || future.isCanceled()) {
                 link.ended();
