--- a/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -25,6 +25,7 @@
     private int heapMegabytes = 64;
     private Process process;
     private boolean paused;
+    private boolean debugs;
     private volatile long startedAt;
 
     /** @param lines hears each line of the log */
@@ -52,6 +53,11 @@
         return process.pid();
     }
 
+    /** Has its next starts log each attempt. */
+    public void debug() {
+        debugs = true;
+    }
+
     /** Writes the files that it starts from. */
     public void files(String platform, String operators) throws IOException {
         Files.writeString(config, platform);
@@ -81,6 +87,9 @@
                 System.getProperty("java.class.path")));
         command.addAll(main);
         command.addAll(List.of("serve", "--config", config.toString(), "--operator", operator.toString()));
+        if (debugs) {
+            command.add("--debug");
+        }
         process = new ProcessBuilder(command).redirectErrorStream(true).start();
         Process mine = process;
         Threads.start("log of " + name, () -> read(mine));
