--- a/scale/src/main/java/lupinvalve/scale/HollowPooler.java
+++ b/scale/src/main/java/lupinvalve/scale/HollowPooler.java
@@ -41,7 +41,8 @@
         boolean now = open.plane().mayAct();
         if (now != may) {
             may = now;
-            events.accept(HostEvent.of(now ? HostEvent.What.MAY_ACT : HostEvent.What.MAY_NOT, name));
+            // On a busy machine the look may come long after the lease has ended.
+            events.accept(now ? HostEvent.of(HostEvent.What.MAY_ACT, name) : HostEvent.mayNot(name, open.leaseEndNanos().getAsLong()));
         }
     }
 
--- a/scale/src/main/java/lupinvalve/scale/HostEvent.java
+++ b/scale/src/main/java/lupinvalve/scale/HostEvent.java
@@ -14,6 +14,11 @@
         return new HostEvent(what, pooler, System.nanoTime(), null, null, null, null, null);
     }
 
+    /** @param atNanos when it was so, if that was before now */
+    static HostEvent mayNot(String pooler, long atNanos) {
+        return new HostEvent(What.MAY_NOT, pooler, Math.min(atNanos, System.nanoTime()), null, null, null, null, null);
+    }
+
     static HostEvent adopted(String pooler, long revision, String digest) {
         return new HostEvent(What.ADOPTED, pooler, System.nanoTime(), revision, digest, null, null, null);
     }
--- a/scale/src/main/java/lupinvalve/scale/OpenPlane.java
+++ b/scale/src/main/java/lupinvalve/scale/OpenPlane.java
@@ -1,6 +1,8 @@
 package lupinvalve.scale;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import lupinvalve.config.OperatorConfig;
 import lupinvalve.net.Net;
@@ -8,11 +10,15 @@
 import lupinvalve.replication.Group;
 import lupinvalve.replication.Subscriber;
 
-/** A pooler's control plane as the daemon opens it, with a way to its traffic. */
-record OpenPlane(ControlPlane plane, Supplier<Net.Traffic> traffic) {
+/**
+ * A pooler's control plane as the daemon opens it, with ways to its traffic and its lease.
+ *
+ * @param leaseEndNanos when its last lease ends, by the machine's monotonic clock; the far future where it does not tell
+ */
+record OpenPlane(ControlPlane plane, Supplier<Net.Traffic> traffic, LongSupplier leaseEndNanos) {
     static OpenPlane member(OperatorConfig.Store store) throws IOException {
         Group group = new Group(store);
-        return new OpenPlane(group, group::traffic);
+        return new OpenPlane(group, group::traffic, () -> Long.MAX_VALUE);
     }
 
     static OpenPlane subscriber(OperatorConfig.Store store) throws IOException {
@@ -20,6 +26,6 @@
         return new OpenPlane(subscriber, () -> {
             Subscriber.Traffic traffic = subscriber.traffic();
             return new Net.Traffic(traffic.bytesOut(), traffic.bytesIn(), traffic.calls());
-        });
+        }, () -> TimeUnit.MICROSECONDS.toNanos(subscriber.leaseEndMicros()));
     }
 }
