--- a/rig/src/main/java/lupinvalve/rig/Timing.java
+++ b/rig/src/main/java/lupinvalve/rig/Timing.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -31,13 +32,16 @@
 
     private record Span(String pooler, String node, long from, long to) {}
 
+    private record Drained(Span span, DrainNotice.Basis basis) {}
+
     private final Rules rules;
     private final Map<String, Long> left = new HashMap<>();
-    private final Map<String, List<Span>> drains = new TreeMap<>();
+    private final Map<String, List<Drained>> drains = new TreeMap<>();
     private final Map<String, List<Long>> starts = new TreeMap<>();
     private final List<Came> came = new ArrayList<>();
     private final List<Span> disturbed = new ArrayList<>();
     private final List<Long> ready = new ArrayList<>();
+    private final Map<String, List<Long>> poolerStarts = new HashMap<>();
 
     public Timing(Rules rules) {
         this.rules = rules;
@@ -54,8 +58,9 @@
     }
 
     /** A pooler was told that a db node drains, up to when it was told otherwise. */
-    public synchronized void drained(String pooler, String node, long from, long to) {
-        drains.computeIfAbsent(node, n -> new ArrayList<>()).add(new Span(pooler, node, from, to));
+    synchronized void drained(String pooler, String node, DrainNotice.Told told) {
+        Span span = new Span(pooler, node, told.from(), told.to());
+        drains.computeIfAbsent(node, n -> new ArrayList<>()).add(new Drained(span, told.basis()));
     }
 
     /** A db node has started, and is cold. */
@@ -63,6 +68,11 @@
         starts.computeIfAbsent(node, n -> new ArrayList<>()).add(at);
     }
 
+    /** A pooler's process was started. */
+    public synchronized void poolerStarted(String pooler, long at) {
+        poolerStarts.computeIfAbsent(pooler, p -> new ArrayList<>()).add(at);
+    }
+
     /** What came meanwhile from a pooler to a db node may have been sent earlier; {@code null} stands for all. */
     public synchronized void disturbed(String pooler, String node, long from, long to) {
         disturbed.add(new Span(pooler, node, from, to + SETTLES));
@@ -78,9 +88,36 @@
                 && (d.node == null || d.node.equals(one.node)) && d.from <= one.at && d.to >= since);
     }
 
-    /** What was found; restarts are all that were timed. */
-    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int coldOverrun, int restarts, int notReady,
-            List<String> findings) {
+    private static String by(DrainNotice.Basis basis) {
+        return switch (basis) {
+            case ANSWERED -> "";
+            case LIMIT -> " by the 6 s";
+            case SILENCE -> " by the 6 s since its watch fell silent";
+        };
+    }
+
+    /** Whether a pooler's process that sent had not had its 6 s since its own start. */
+    private boolean starting(Came one) {
+        long grace = DrainNotice.TOLD_AT_LATEST + rules.drainMillis() + SLACK;
+        return poolerStarts.getOrDefault(one.pooler, List.of()).stream().anyMatch(start -> start <= one.at && one.at <= start + grace);
+    }
+
+    private boolean lateAfter(Drained drained, Came one) {
+        Span drain = drained.span;
+        return drain.pooler.equals(one.pooler) && one.at > drain.from + rules.drainMillis() + SLACK && one.at < drain.to
+                && !excused(one, drain.from);
+    }
+
+    /**
+     * What was found.
+     *
+     * @param lateUnanswered those of the late after a drain whose process had not been answered yet when the 6 s had passed
+     * @param lateStarting those of them whose process had been started less than 6 s before, and the grace
+     * @param lateSilent those of the unanswered whose watch had fallen silent before the drain
+     * @param restarts all that were timed
+     */
+    public record Verdict(int lateAfterDeparture, int lateAfterDrain, int lateUnanswered, int lateStarting, int lateSilent, int coldOverrun,
+            int restarts, int notReady, List<String> findings) {
         public boolean good() {
             return lateAfterDeparture + lateAfterDrain + coldOverrun == 0 && notReady * 10 <= restarts;
         }
@@ -90,18 +127,26 @@
         List<String> findings = new ArrayList<>();
         int departed = 0;
         int drained = 0;
+        int unanswered = 0;
+        int starting = 0;
+        int silent = 0;
         for (Came one : came) {
             Long gone = left.get(one.id);
             if (gone != null && one.at > gone + DEPARTED && !excused(one, gone)) {
                 departed++;
-                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone) + " ms after its client had gone");
+                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - gone)
+                        + " ms after its client had gone, at " + one.at);
             }
-            for (Span drain : drains.getOrDefault(one.node, List.of())) {
-                if (drain.pooler.equals(one.pooler) && one.at > drain.from + rules.drainMillis() + SLACK && one.at < drain.to
-                        && !excused(one, drain.from)) {
-                    drained++;
-                    findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - drain.from) + " ms after its drain was told");
-                }
+            Optional<Drained> late = drains.getOrDefault(one.node, List.of()).stream()
+                    .filter(drain -> lateAfter(drain, one)).findFirst();
+            if (late.isPresent()) {
+                drained++;
+                boolean answered = late.get().basis == DrainNotice.Basis.ANSWERED;
+                unanswered += answered ? 0 : 1;
+                silent += late.get().basis == DrainNotice.Basis.SILENCE ? 1 : 0;
+                starting += answered || !starting(one) ? 0 : 1;
+                findings.add(one.id + " came to " + one.node + " by " + one.pooler + " " + (one.at - late.get().span.from)
+                        + " ms after its drain was told" + by(late.get().basis) + ", at " + one.at);
             }
         }
         int overrun = overrun(findings);
@@ -109,7 +154,7 @@
         if (late * 10 > ready.size()) {
             findings.add(late + " of " + ready.size() + " restarted poolers were not ready in 10 s");
         }
-        return new Verdict(departed, drained, overrun, ready.size(), late, findings);
+        return new Verdict(departed, drained, unanswered, starting, silent, overrun, ready.size(), late, findings);
     }
 
     /** Windows in which a cold db node was sent more than it bears: the busiest of the others shows what one can do. */
