--- a/capacity/src/main/java/lupinvalve/capacity/CodeFacts.java
+++ b/capacity/src/main/java/lupinvalve/capacity/CodeFacts.java
@@ -57,9 +57,9 @@
     static final double PROBES_PER_REQUEST = 0.03;
     /** {@code Router.CHANGE_PROBE_PACE}: a round of one group's members while its primary is missing. */
     static final double CHANGE_PROBE_SECONDS = 0.15;
-    /** {@code HttpDirectory}: a watch beats so often, is doubted after, and a call may take so long. */
+    /** {@code WatchSchedule}: a watch beats so often, is doubted after, and a new one may take so long to answer. */
     static final double WATCH_BEAT_SECONDS = 2;
-    static final double WATCH_DOUBTED_SECONDS = 2.6;
+    static final double WATCH_DOUBTED_SECONDS = 2.25;
     static final double CALL_SECONDS = 1.2;
     /** {@code HttpDirectory.ANSWER_MOST}. */
     static final double LIST_MOST = 4 << 20;
--- a/capacity/src/main/java/lupinvalve/capacity/DiscoveryFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/DiscoveryFigures.java
@@ -25,7 +25,7 @@
                 Basis.COMPUTED, "a beat each 2 s", "discovery/HttpDirectory.java"));
         out.add(Figure.of("a silent watch noticed and replaced, two calls failing", CodeFacts.WATCH_DOUBTED_SECONDS
                 + 2 * CodeFacts.CALL_SECONDS, d.inForceSeconds(), Unit.SECONDS, Basis.COMPUTED, "its constants, pauses not counted",
-                "discovery/HttpDirectory.java"));
+                "discovery/WatchSchedule.java"));
         return out;
     }
 
--- a/capacity/src/test/java/lupinvalve/capacity/CodeFactsTest.java
+++ b/capacity/src/test/java/lupinvalve/capacity/CodeFactsTest.java
@@ -50,10 +50,11 @@
 
     @Test
     void discoverysPacesAreTheProgramsOwn() throws ReflectiveOperationException {
-        String directory = "lupinvalve.discovery.HttpDirectory";
-        assertEquals(CodeFacts.WATCH_DOUBTED_SECONDS, constant(directory, "WATCH_DOUBTED") / MICROS);
-        assertEquals(CodeFacts.CALL_SECONDS, constant(directory, "CALL") / MICROS);
-        assertEquals(CodeFacts.LIST_MOST, constant(directory, "ANSWER_MOST"));
+        String schedule = "lupinvalve.discovery.WatchSchedule";
+        assertEquals(CodeFacts.WATCH_BEAT_SECONDS, constant(schedule, "BEAT") / MICROS);
+        assertEquals(CodeFacts.WATCH_DOUBTED_SECONDS, constant(schedule, "DOUBTED") / MICROS);
+        assertEquals(CodeFacts.CALL_SECONDS, constant(schedule, "UNANSWERED") / MICROS);
+        assertEquals(CodeFacts.LIST_MOST, constant("lupinvalve.discovery.HttpDirectory", "ANSWER_MOST"));
     }
 
     @Test
