Fill the capacity page from followers' runs up to 400, with what falls with size

Hollow poolers share a process, so processor and memory for each fall with their number, and the straight line falls below zero before 910: the largest run's figure stands for more (computed to ten times its size, else a guess). A run of full size that failed is told beside a line that says otherwise.

EstimateTest, with both taken back: whatFallsBelowZero... and aRunOfFullSizeThatFailed... fail. The module's 24 tests, LabTest and CapacityCommandTest pass.

--- a/capacity/src/main/java/lupinvalve/capacity/Estimate.java
+++ b/capacity/src/main/java/lupinvalve/capacity/Estimate.java
@@ -34,7 +34,15 @@
                 .filter(fit -> fit.per() == Per.POOLER && fit.points() >= POINTS_LEAST).map(fit -> new Line(slopes, fit, metric, demand))
                 .max(Comparator.comparingInt(Line::reach).thenComparing(line -> line.fit.trial() == null)
                         .thenComparing(line -> line.at(demand.poolers())))
-                .map(Line::estimate).orElse(NOTHING);
+                .map(Line::estimate).map(estimate -> failed(slopes, design, demand, estimate)).orElse(NOTHING);
+    }
+
+    /** A line is no word against a run of full size that failed: that is said beside it. */
+    private static Estimate failed(Slopes slopes, Design design, Demand demand, Estimate line) {
+        boolean failed = slopes.latest().stream().anyMatch(run -> run.design() == design && !run.whole() && run.trial() == null
+                && run.poolers() >= demand.poolers());
+        return !failed ? line : new Estimate(line.value(), line.failsAt(), line.basis(), line.from() + "; **a run of "
+                + demand.poolers() + " failed**");
     }
 
     /** What the largest run of a design told, at the operators' rate; empty where none did. */
@@ -113,8 +121,7 @@
             double budget = metric.budget(demand);
             double value = at(demand.poolers());
             if (value < 0 || idle != null && idle.at(demand.poolers()) < 0) {
-                return new Estimate(Double.NaN, Double.NaN, Basis.NOT_RUN, "a line through runs up to " + reach()
-                        + " poolers falls below zero before " + demand.poolers());
+                return falling(budget);
             }
             double failsAt = Double.NaN;
             for (int poolers = demand.poolers(); value > budget && poolers > 0 && at(poolers) > budget; poolers--) {
@@ -128,6 +135,18 @@
             return new Estimate(value, failsAt, basis(), from);
         }
 
+        /** What falls with size, as poolers that share a process do, and can't fall below zero: the largest run stands for more. */
+        private Estimate falling(double budget) {
+            Run largest = runs.stream().filter(run -> !Double.isNaN(run.value(metric)))
+                    .max(Comparator.comparingInt(Run::poolers)).orElse(null);
+            if (largest == null) {
+                return NOTHING;
+            }
+            double value = atRate(largest, metric);
+            return new Estimate(value, value > budget ? largest.poolers() : Double.NaN, basis(), "falls with size, taken as at "
+                    + largest.poolers() + ", " + largest.words());
+        }
+
         private Basis basis() {
             if ((double) demand.poolers() / reach() > FAR) {
                 return Basis.GUESSED;
