Let the rig's proxies use their threads again, two a connection in place of three

Neither poolers nor members were busy (30% of a core a host, 10% a member): 59 of the proxies' threads stood in Thread.start, and 170 to 212 connections waited in each proxy's backlog, while subscribers gave each up after 0.7 s and dialled anew. That is the rig's fault, not the mechanism's.

--- a/rig/src/main/java/lupinvalve/rig/FaultProxy.java
+++ b/rig/src/main/java/lupinvalve/rig/FaultProxy.java
@@ -10,12 +10,15 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** One direction of dialling between two processes: passes bytes on, or does to them what it is told. */
 public final class FaultProxy implements Closeable {
     /** A whole zone's poolers may dial at once. */
     private static final int BACKLOG = 1024;
+    private static final long STACK = 256 << 10;
 
     /** Sees the bytes of one direction of one connection that were passed on. */
     public interface Tap {
@@ -28,6 +31,12 @@
         Tap open(boolean there);
     }
 
+    /** Of all proxies: connections that come and go by the hundred would else spend their time on new threads. */
+    private static final ExecutorService THREADS = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(null, work, "proxy", STACK);
+        thread.setDaemon(true);
+        return thread;
+    });
     private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     private final Taps taps;
     private final InetSocketAddress to;
@@ -50,7 +59,7 @@
             while (!server.isClosed()) {
                 Socket in = server.accept();
                 sockets.add(in);
-                Threads.start("proxy", () -> carry(in));
+                start(() -> carry(in));
             }
         });
     }
@@ -79,8 +88,12 @@
         in.setTcpNoDelay(true);
         out.setTcpNoDelay(true);
         sockets.add(out);
-        Threads.start("proxy", () -> pass(in, out, true));
-        Threads.start("proxy", () -> pass(out, in, false));
+        start(() -> pass(out, in, false));
+        pass(in, out, true);
+    }
+
+    private static void start(Threads.Work work) {
+        THREADS.execute(Threads.quiet(work));
     }
 
     private boolean cut(boolean there) {
--- a/rig/src/main/java/lupinvalve/rig/Threads.java
+++ b/rig/src/main/java/lupinvalve/rig/Threads.java
@@ -12,7 +12,15 @@
     private Threads() {}
 
     static Thread start(String name, Work work) {
-        Thread thread = new Thread(() -> {
+        Thread thread = new Thread(quiet(work), name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    /** The same work, ending without a word once a peer has gone. */
+    static Runnable quiet(Work work) {
+        return () -> {
             try {
                 work.run();
             } catch (IOException e) {
@@ -20,9 +28,6 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-        }, name);
-        thread.setDaemon(true);
-        thread.start();
-        return thread;
+        };
     }
 }
