--- a/capacity/src/main/java/lupinvalve/capacity/Figure.java
+++ b/capacity/src/main/java/lupinvalve/capacity/Figure.java
@@ -51,9 +51,9 @@
         return of(what, need, Double.NaN, unit, basis, from, by);
     }
 
-    /** Need over budget, or NaN. */
+    /** Need over budget, or NaN; infinite where nothing at all is allowed and there is something. */
     public double ratio() {
-        return need / budget;
+        return need == 0 ? 0 * budget : need / budget;
     }
 
     /** Whether the budget is known to be exceeded. */
@@ -70,6 +70,9 @@
     }
 
     String ratioWords() {
+        if (Double.isInfinite(ratio())) {
+            return "**over**";
+        }
         return Double.isNaN(ratio()) ? "" : (over() ? "**" + Unit.number(ratio()) + "**" : Unit.number(ratio()));
     }
 }
--- a/capacity/src/main/java/lupinvalve/capacity/Ranking.java
+++ b/capacity/src/main/java/lupinvalve/capacity/Ranking.java
@@ -5,7 +5,7 @@
 
 /** Budgets that are exceeded, the worst first. */
 final class Ranking {
-    private static final int SHOWN = 8;
+    private static final int SHOWN = 12;
     private final List<Figure> all;
 
     Ranking(List<Figure> all) {
--- a/capacity/src/main/java/lupinvalve/capacity/RoleFigures.java
+++ b/capacity/src/main/java/lupinvalve/capacity/RoleFigures.java
@@ -71,7 +71,7 @@
             table.row(run.design().name().toLowerCase(Locale.ROOT), run.words(), run.commit() == null ? slopes.commit()
                     : run.commit(), values(run, Metric.IN_FORCE_P50_MS, Metric.IN_FORCE_P99_MS, Metric.IN_FORCE_MAX_MS),
                     values(run, Metric.CONTROL_CPU_CORE, Metric.CONTROL_BYTES_PER_S, Metric.CONTROL_RSS_MB),
-                    values(run, Metric.LEADER_CPU_CORE, Metric.LEADER_BYTES_PER_S), run.whole() ? "whole" : "failed: " + run.failed());
+                    values(run, Metric.LEADER_CPU_CORE, Metric.LEADER_BYTES_PER_S), run.ended());
         }
         if (shown.isEmpty()) {
             table.row("not run", "", "", "", "", "", "");
--- a/capacity/src/main/java/lupinvalve/capacity/Slopes.java
+++ b/capacity/src/main/java/lupinvalve/capacity/Slopes.java
@@ -60,6 +60,9 @@
      * @param restartFactor the same of restarts
      * @param trial what of the program was changed for it, or null
      * @param failed why it failed, or null
+     * @param divergent contents of a revision that nobody put, or that differ
+     * @param lost changes that were acknowledged and are gone
+     * @param unfencedLate pairs of a change and a pooler that acted on an older one past its time
      * @param metrics what it told, by {@link Metric#key}
      */
     @JsonIgnoreProperties(ignoreUnknown = true)
@@ -67,6 +70,7 @@
             @JsonProperty("databases") int databases, @JsonProperty("seconds") double seconds, @JsonProperty("seed") long seed,
             @JsonProperty("change_factor") double changeFactor, @JsonProperty("restart_factor") double restartFactor,
             @JsonProperty("commit") String commit, @JsonProperty("trial") String trial, @JsonProperty("failed") String failed,
+            @JsonProperty("divergent") long divergent, @JsonProperty("lost") long lost, @JsonProperty("unfenced_late") long unfencedLate,
             @JsonProperty("metrics") Map<String, Double> metrics) {
         public Run {
             load = load == null ? Load.MIXED : load;
@@ -78,6 +82,15 @@
             return failed == null || failed.isEmpty();
         }
 
+        /** How it ended, as the page says it. */
+        public String ended() {
+            if (!whole()) {
+                return "failed: " + failed;
+            }
+            return divergent + lost + unfencedLate == 0 ? "whole" : String.format(Locale.ROOT, "whole; **divergent %d, lost %d, late %d**",
+                    divergent, lost, unfencedLate);
+        }
+
         /** What it told of a metric, or NaN. */
         public double value(Metric metric) {
             Double value = metrics.get(metric.key());
