Tell a lease that lapsed between two looks, and open a restarted pooler's folder again

The host tries for 10 s now, as who starts daemons does. Looks at the right to act come late on a busy machine; where a lease had ended and the next one's request came later, that time counted as a right to act.

--- a/scale/src/main/java/lupinvalve/scale/HollowHost.java
+++ b/scale/src/main/java/lupinvalve/scale/HollowHost.java
@@ -19,6 +19,8 @@
 /** A process of many hollow poolers: hears commands on its standard input, tells events on its output, ends with its input. */
 public final class HollowHost {
     private static final int WORKERS = 16;
+    private static final int OPENINGS_MOST = 50;
+    private static final long OPENING_MILLIS = 200;
     private static final long LOOK_MILLIS = 20;
     private static final long END_SECONDS = 10;
     private final Design design;
@@ -69,12 +71,26 @@
 
     private void start(HostCommand command) {
         try {
-            HollowPooler pooler = new HollowPooler(command.pooler(), design.open(command, cluster), this::tell);
+            HollowPooler pooler = new HollowPooler(command.pooler(), opened(command), this::tell);
             pooler.start();
             poolers.put(command.pooler(), pooler);
         } catch (IOException | RuntimeException e) {
             tell(HostEvent.failed(command.pooler(), String.valueOf(e)));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Tries again for a while, as who starts daemons does: the life before may not have let go of its folder yet. */
+    private OpenPlane opened(HostCommand command) throws IOException, InterruptedException {
+        for (int i = 1; i < OPENINGS_MOST; i++) {
+            try {
+                return design.open(command, cluster);
+            } catch (IOException e) {
+                Thread.sleep(OPENING_MILLIS);
+            }
         }
+        return design.open(command, cluster);
     }
 
     private void stop(String name) {
--- a/scale/src/main/java/lupinvalve/scale/HollowPooler.java
+++ b/scale/src/main/java/lupinvalve/scale/HollowPooler.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import lupinvalve.audit.Lease;
 import lupinvalve.config.OperatorConfig;
 import lupinvalve.ledger.Change;
 import lupinvalve.ledger.Ledger;
@@ -14,7 +16,10 @@
     private final String name;
     private final OpenPlane open;
     private final Consumer<HostEvent> events;
+    private static final long LEASE_NANOS = TimeUnit.MICROSECONDS.toNanos(Lease.LENGTH);
     private boolean may;
+    /** At the last look. */
+    private long leaseEnd;
 
     HollowPooler(String name, OpenPlane open, Consumer<HostEvent> events) {
         this.name = name;
@@ -38,12 +43,18 @@
 
     /** Tells where the right to act has come or gone since the last look; always from the same thread. */
     void look() {
+        long end = open.leaseEndNanos().getAsLong();
         boolean now = open.plane().mayAct();
-        if (now != may) {
-            may = now;
-            // On a busy machine the look may come long after the lease has ended.
-            events.accept(now ? HostEvent.of(HostEvent.What.MAY_ACT, name) : HostEvent.mayNot(name, open.leaseEndNanos().getAsLong()));
+        // On a busy machine a look may come long after a lease has ended, and after the next one has begun, which counts from its request.
+        boolean lapsed = may && end != Long.MAX_VALUE && end - LEASE_NANOS > leaseEnd;
+        if (may && (!now || lapsed)) {
+            events.accept(HostEvent.may(name, false, lapsed ? leaseEnd : end));
         }
+        if (now && (!may || lapsed)) {
+            events.accept(HostEvent.may(name, true, lapsed ? end - LEASE_NANOS : Long.MAX_VALUE));
+        }
+        may = now;
+        leaseEnd = end;
     }
 
     @Override
--- a/scale/src/main/java/lupinvalve/scale/HostEvent.java
+++ b/scale/src/main/java/lupinvalve/scale/HostEvent.java
@@ -15,8 +15,8 @@
     }
 
     /** @param atNanos when it was so, if that was before now */
-    static HostEvent mayNot(String pooler, long atNanos) {
-        return new HostEvent(What.MAY_NOT, pooler, Math.min(atNanos, System.nanoTime()), null, null, null, null, null);
+    static HostEvent may(String pooler, boolean now, long atNanos) {
+        return new HostEvent(now ? What.MAY_ACT : What.MAY_NOT, pooler, Math.min(atNanos, System.nanoTime()), null, null, null, null, null);
     }
 
     static HostEvent adopted(String pooler, long revision, String digest) {
--- a/scale/src/main/java/lupinvalve/scale/ScaleOptions.java
+++ b/scale/src/main/java/lupinvalve/scale/ScaleOptions.java
@@ -47,7 +47,7 @@
     String load = Load.Kind.MIXED.word();
 
     @Option(name = "--change-factor", metaVar = "X", usage = "times 3,800 changes a day")
-    double changeFactor = 15;
+    double changeFactor = 12;
 
     @Option(name = "--restart-factor", metaVar = "X", usage = "times 340 restarts a day")
     double restartFactor = 100;
--- /dev/null
+++ b/scale/src/test/java/lupinvalve/scale/HollowPoolerTest.java
@@ -0,0 +1,101 @@
+package lupinvalve.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import lupinvalve.ledger.Change;
+import lupinvalve.net.Net;
+import lupinvalve.replication.ControlPlane;
+import lupinvalve.replication.Group;
+import org.junit.jupiter.api.Test;
+
+/** What a hollow pooler tells of its right to act is right also where nobody looked for a while. */
+class HollowPoolerTest {
+    private final AtomicBoolean may = new AtomicBoolean();
+    private final AtomicLong end = new AtomicLong();
+    private final List<HostEvent> events = new ArrayList<>();
+    private final HollowPooler pooler = new HollowPooler("h1", new OpenPlane(new Plane(), () -> new Net.Traffic(0, 0, 0), end::get),
+            events::add);
+
+    private final class Plane implements ControlPlane {
+        @Override
+        public Known known() {
+            return null;
+        }
+
+        @Override
+        public void start(Group.Pooler beside) {
+            // Nothing is heard.
+        }
+
+        @Override
+        public boolean mayAct() {
+            return may.get();
+        }
+
+        @Override
+        public boolean fences() {
+            return true;
+        }
+
+        @Override
+        public boolean leads() {
+            return false;
+        }
+
+        @Override
+        public void committed(String session, long position, Runnable then) {
+            // No sessions.
+        }
+
+        @Override
+        public void listing(List<Change.Listed> nodes) {
+            // No list.
+        }
+
+        @Override
+        public void reload() {
+            // No keys.
+        }
+
+        @Override
+        public void stop() {
+            // Nothing runs.
+        }
+    }
+
+    private void look(boolean now, long endNanos) {
+        may.set(now);
+        end.set(endNanos);
+        pooler.look();
+    }
+
+    @Test
+    void aLeaseThatEndedAndCameAgainBetweenTwoLooksIsTold() {
+        long now = System.nanoTime();
+        long first = now - TimeUnit.SECONDS.toNanos(20);
+        long next = now - TimeUnit.SECONDS.toNanos(1);
+        look(true, first);
+        look(true, next);
+        assertEquals(List.of(HostEvent.What.MAY_ACT, HostEvent.What.MAY_NOT, HostEvent.What.MAY_ACT),
+                events.stream().map(HostEvent::what).toList());
+        assertEquals(first, events.get(1).atNanos());
+        assertEquals(next - TimeUnit.SECONDS.toNanos(2), events.get(2).atNanos());
+    }
+
+    @Test
+    void aRenewedLeaseIsNoNewsAndItsEndIsToldAsItWas() {
+        long now = System.nanoTime();
+        long first = now - TimeUnit.SECONDS.toNanos(4);
+        long next = now - TimeUnit.SECONDS.toNanos(3);
+        look(true, first);
+        look(true, next);
+        look(false, next);
+        assertEquals(List.of(HostEvent.What.MAY_ACT, HostEvent.What.MAY_NOT), events.stream().map(HostEvent::what).toList());
+        assertEquals(next, events.get(1).atNanos());
+    }
+}
