Go on with a mixed run where a herd is not back in time, and name it in the verdict

The run was thrown away for it; now it ends 1 with its figures, 'load' in over and the herd in findings.

--- a/scale/src/main/java/lupinvalve/scale/Load.java
+++ b/scale/src/main/java/lupinvalve/scale/Load.java
@@ -77,11 +77,15 @@
         }
     }
 
-    /** Restarts these at once; gives how long it took until the last was ready, in ms. */
-    double herd(List<Integer> poolers) throws IOException, InterruptedException {
+    /** Restarts these at once; gives how long it took until the last was ready, in ms, or null where not all were in time. */
+    Double herd(List<Integer> poolers) throws InterruptedException {
         List<Integer> mine = poolers.stream().filter(one -> take(List.of(one))).toList();
         try {
             return fleet.herd(mine, operator.revision(), READY_SECONDS);
+        } catch (IOException e) {
+            // The run goes on: what else it measures is worth having, and its verdict names this.
+            failures.add("herd of " + mine.size() + ": " + e.getMessage());
+            return null;
         } finally {
             give(mine);
         }
