--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -189,8 +189,8 @@
         setUp(acceptor.getSessionConfig());
         if (security != null) {
             acceptor.getFilterChain().addLast(SECURITY, security.filter(false));
-            acceptors.add(acceptor);
         }
+        acceptors.add(acceptor);
         acceptor.setHandler(new Handler() {
             @Override
             public void sessionCreated(IoSession session) {
@@ -321,6 +321,22 @@
         return link;
     }
 
+    /** What has gone over all connections since the start, those that are closed included. */
+    public record Traffic(long bytesOut, long bytesIn, long messagesOut) {}
+
+    /** Sums of all connections; from any thread. */
+    public Traffic traffic() {
+        long out = connector.getStatistics().getWrittenBytes();
+        long in = connector.getStatistics().getReadBytes();
+        long messages = connector.getStatistics().getWrittenMessages();
+        for (NioSocketAcceptor acceptor : acceptors) {
+            out += acceptor.getStatistics().getWrittenBytes();
+            in += acceptor.getStatistics().getReadBytes();
+            messages += acceptor.getStatistics().getWrittenMessages();
+        }
+        return new Traffic(out, in, messages);
+    }
+
     /**
      * Closes the socket under a dial that is given up. MINA's own cancel counts a dial twice that has just come up and has no
      * session yet: its connector's thread may then end while other dials wait for it, and these never come up.
--- a/rig/src/main/java/lupinvalve/rig/FaultProxy.java
+++ b/rig/src/main/java/lupinvalve/rig/FaultProxy.java
@@ -10,11 +10,35 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** One direction of dialling between two processes: passes bytes on, or does to them what it is told. */
 public final class FaultProxy implements Closeable {
-    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    /** A whole zone's poolers may dial at once. */
+    private static final int BACKLOG = 1024;
+    private static final long STACK = 256 << 10;
+
+    /** Sees the bytes of one direction of one connection that were passed on. */
+    public interface Tap {
+        void passed(byte[] bytes, int count);
+    }
+
+    /** Gives a tap for each direction of each connection. */
+    public interface Taps {
+        /** @param there whether the bytes are of the one who dialled */
+        Tap open(boolean there);
+    }
+
+    /** Of all proxies: connections that come and go by the hundred would else spend their time on new threads. */
+    private static final ExecutorService THREADS = Executors.newCachedThreadPool(work -> {
+        Thread thread = new Thread(null, work, "proxy", STACK);
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final ServerSocket server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private final Taps taps;
     private final InetSocketAddress to;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     /** Bytes of the one who dials, and those of the one dialled, that are swallowed. */
@@ -24,12 +48,18 @@
     private volatile double breaks, bytesPerSecond = Double.POSITIVE_INFINITY;
 
     public FaultProxy(int port) throws IOException {
+        this(port, there -> (bytes, count) -> { });
+    }
+
+    /** The same; what it passes on is seen by these. */
+    public FaultProxy(int port, Taps taps) throws IOException {
+        this.taps = taps;
         to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         Threads.start("proxy", () -> {
             while (!server.isClosed()) {
                 Socket in = server.accept();
                 sockets.add(in);
-                Threads.start("proxy", () -> carry(in));
+                start(() -> carry(in));
             }
         });
     }
@@ -58,8 +88,12 @@
         in.setTcpNoDelay(true);
         out.setTcpNoDelay(true);
         sockets.add(out);
-        Threads.start("proxy", () -> pass(in, out, true));
-        Threads.start("proxy", () -> pass(out, in, false));
+        start(() -> pass(out, in, false));
+        pass(in, out, true);
+    }
+
+    private static void start(Threads.Work work) {
+        THREADS.execute(Threads.quiet(work));
     }
 
     private boolean cut(boolean there) {
@@ -71,6 +105,7 @@
             InputStream in = from.getInputStream();
             OutputStream out = into.getOutputStream();
             byte[] bytes = new byte[16 << 10];
+            Tap tap = taps.open(there);
             for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
                 if (delayMillis > 0) {
                     Thread.sleep(delayMillis);
@@ -89,6 +124,7 @@
                     break;
                 }
                 out.write(bytes, 0, count);
+                tap.passed(bytes, count);
             }
         } finally {
             from.close();
--- /dev/null
+++ b/scale/src/main/java/lupinvalve/scale/OpenPlane.java
@@ -0,0 +1,31 @@
+package lupinvalve.scale;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import lupinvalve.config.OperatorConfig;
+import lupinvalve.net.Net;
+import lupinvalve.replication.ControlPlane;
+import lupinvalve.replication.Group;
+import lupinvalve.replication.Subscriber;
+
+/**
+ * A pooler's control plane as the daemon opens it, with ways to its traffic and its lease.
+ *
+ * @param leaseEndNanos when its last lease ends, by the machine's monotonic clock; the far future where it does not tell
+ */
+record OpenPlane(ControlPlane plane, Supplier<Net.Traffic> traffic, LongSupplier leaseEndNanos) {
+    static OpenPlane member(OperatorConfig.Store store) throws IOException {
+        Group group = new Group(store);
+        return new OpenPlane(group, group::traffic, () -> Long.MAX_VALUE);
+    }
+
+    static OpenPlane subscriber(OperatorConfig.Store store) throws IOException {
+        Subscriber subscriber = new Subscriber(store);
+        return new OpenPlane(subscriber, () -> {
+            Subscriber.Traffic traffic = subscriber.traffic();
+            return new Net.Traffic(traffic.bytesOut(), traffic.bytesIn(), traffic.calls());
+        }, () -> TimeUnit.MICROSECONDS.toNanos(subscriber.leaseEndMicros()));
+    }
+}
