Search the platform's file for the memory limit in linear time at the start

Cause: deploy/run.sh cut the text before "memory_mb" off with ${seen#*'"memory_mb"'}; the shell tries each prefix and scans each anew. Change: each line is split once at its quotation marks; the key is a part that a colon follows. A value or a text that holds the key's name is no longer taken for it.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -3,32 +3,45 @@
 # the start: that takes a tenth of what a start costs, and the bound holds all the same. 72 MB are left for the rest.
 #
 # The platform refuses to start other programs: the shell reads the file by itself, up to the key, then becomes the JVM.
+# The file may be large (a list of thousands of db nodes) and may be one line, so each byte is looked at once: a line is
+# split at its quotation marks, and the key is a part that is followed by a colon. Patterns that cut off a prefix
+# (${text#*key}) try every prefix anew, which took minutes for 960 db nodes.
 memory=
-seen=
 if [ -r "$NODE_CONFIG" ]; then
-    while IFS= read -r line || [ -n "$line" ]; do
-        seen="$seen $line"
-        case $seen in
-            *'"memory_mb"'*[0-9]*) break ;;
+    after_key=
+    set -f
+    while [ -z "$memory" ] && { IFS= read -r line || [ -n "$line" ]; }; do
+        case $after_key$line in
+            *memory_mb* | key* | colon*) ;;
+            *) continue ;;
         esac
-        # A key whose value stands on a later line is kept; lines before it are not, or long files would pile up.
-        case $seen in
-            *'"memory_mb"'*) seen="\"memory_mb\"${seen#*'"memory_mb"'}" ;;
-            *) seen= ;;
-        esac
-    done < "$NODE_CONFIG"
-    case $seen in
-        *'"memory_mb"'*)
-            memory=${seen#*'"memory_mb"'}
-            # What stands between the key and its digits, then what stands behind them.
-            between=${memory%%[0-9]*}
-            memory=${memory#"$between"}
-            memory=${memory%%[!0-9]*}
+        IFS='"'
+        for part in $line; do
+            if [ -z "$after_key" ]; then
+                [ "$part" != memory_mb ] || after_key=key
+                continue
+            fi
+            # What follows the key's name: white space and, where it is the key, a colon; its value may stand on a later line.
+            between=${part%%[!\ :"	"]*}
+            value=${part#"$between"}
             case $between in
-                *[!\ :"	"]*) memory= ;;
+                *:*) after_key=colon ;;
             esac
-            ;;
-    esac
+            if [ -z "$value" ]; then
+                continue
+            fi
+            if [ "$after_key" = colon ]; then
+                memory=${value%%[!0-9]*}
+                memory=${memory:-none}
+                break
+            fi
+            after_key=
+        done
+        unset IFS
+    done < "$NODE_CONFIG"
+    set +f
+    # Where the value is no number the default holds.
+    [ "$memory" != none ] || memory=
 fi
 heap=$((${memory:-128} - 72))
 [ "$heap" -ge 40 ] || heap=40
