Show that a start serves from its file's list, and that signals end the start script: failing tests

Cause: Daemon.start calls startCore() after the warm-up and then net.listen: the port opens on the list in the file, before discovery has answered this process (only a successor in an upgrade waits). Change: StartTest starts a second process whose discovery takes the call and is not answered for 2.5 s, then tells of a drain; RunScriptTest signals the script while it reads.

--- a/daemon/src/test/java/lupinvalve/cli/RunScriptTest.java
+++ b/daemon/src/test/java/lupinvalve/cli/RunScriptTest.java
@@ -109,6 +109,49 @@
         heap(72, "{\"name\":\"\\\"memory_mb\\\":99\",\"limits\":{\"sockets\":512,\"memory_mb\":144}}");
     }
 
+    /** The file is a pipe, so the script is still reading when the signal comes. */
+    private Process reading() throws Exception {
+        Path pipe = folder.resolve("pipe.json");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        ProcessBuilder script = new ProcessBuilder("/bin/sh", "deploy/run.sh").redirectErrorStream(true);
+        script.environment().put("NODE_CONFIG", pipe.toString());
+        script.environment().put("PATH", folder.toString());
+        Process process = script.start();
+        // Opening it waits for the script to do the same.
+        Files.newOutputStream(pipe).write('{');
+        return process;
+    }
+
+    private static void signal(String which, Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + which, Long.toString(process.pid())).start().waitFor());
+    }
+
+    @Test
+    void endBeforeTheProgramRunsIsNoFailure() throws Exception {
+        Process process = reading();
+        try {
+            signal("TERM", process);
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    @Test
+    void newConfigurationBeforeTheProgramRunsEndsNothing() throws Exception {
+        Process process = reading();
+        try {
+            signal("HUP", process);
+            signal("HUP", process);
+            signal("TERM", process);
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void whereTwoMayRunTheHeapStartsSmall() throws Exception {
         String said = started("{\"memory_mb\": 144}", Map.of("NODE_OPERATOR", "127.0.0.1:9600"));
--- /dev/null
+++ b/daemon/src/test/java/lupinvalve/stories/StartTest.java
@@ -0,0 +1,98 @@
+package lupinvalve.stories;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import lupinvalve.cli.Daemon;
+import lupinvalve.config.OperatorConfig;
+import org.junit.jupiter.api.Test;
+
+/** A process that starts with the list in its file, which may be old: a server listed there may have been drained long ago. */
+class StartTest {
+    /** Longer than the rest of a start takes; a port that opens meanwhile opened on the old list. */
+    private static final long PENDING_MILLIS = 2_500;
+    private static final long WITHIN_SECONDS = 10;
+
+    /** Discovery that takes calls and leaves it to the test when, and whether, they are answered. */
+    private static final class Discovery implements Closeable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+
+        Discovery() throws IOException {
+            server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WITHIN_SECONDS));
+        }
+
+        static void answer(Socket call, String json) throws IOException {
+            OutputStream out = call.getOutputStream();
+            String line = json + "\n";
+            out.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    private static CountDownLatch start(Daemon daemon, AtomicBoolean failed) {
+        CountDownLatch started = new CountDownLatch(1);
+        World.thread(() -> {
+            try {
+                daemon.start();
+            } catch (IOException | RuntimeException e) {
+                failed.set(true);
+            }
+            started.countDown();
+        });
+        return started;
+    }
+
+    @Test
+    void noClientIsTakenBeforeDiscoveryHasAnsweredThisProcess() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        DbNode replica = new DbNode("s-2", false);
+        AtomicBoolean failed = new AtomicBoolean();
+        try (Discovery discovery = new Discovery(); World world = new World(OperatorConfig.NONE, primary, replica)) {
+            Daemon restarted = World.daemon(world.config(discovery.server, 1024), OperatorConfig.NONE, null);
+            try {
+                CountDownLatch started = start(restarted, failed);
+                try (Socket call = discovery.server.accept()) {
+                    assertFalse(started.await(PENDING_MILLIS, TimeUnit.MILLISECONDS), "serves from a list that may be old");
+                    // The replica was drained while nobody told this process.
+                    replica.phase = "terminating";
+                    Discovery.answer(call, "{\"revision\":9,\"complete\":true,\"members\":[" + primary.entry() + "," + replica.entry() + "]}");
+                    assertTrue(started.await(WITHIN_SECONDS, TimeUnit.SECONDS), "serves once it is told");
+                }
+                assertFalse(failed.get());
+            } finally {
+                restarted.stop();
+            }
+        }
+    }
+
+    @Test
+    void whereDiscoverySaysNothingItServesFromTheListInItsFileWithinSeconds() throws Exception {
+        AtomicBoolean failed = new AtomicBoolean();
+        try (Discovery discovery = new Discovery(); World world = new World(OperatorConfig.NONE, new DbNode("s-1", true))) {
+            Daemon restarted = World.daemon(world.config(discovery.server, 1024), OperatorConfig.NONE, null);
+            try {
+                assertTrue(start(restarted, failed).await(WITHIN_SECONDS, TimeUnit.SECONDS));
+                assertFalse(failed.get());
+                assertTrue(restarted.address().getPort() > 0);
+            } finally {
+                restarted.stop();
+            }
+        }
+    }
+}
