Wait for discovery's first word before serving, and outlive signals, failed accepts and errors

Logs: what a process starts from, discovery's first word and how long it took, why each call to discovery ended, failed accepts counted, a start without discovery's word. The warm-up's pooler is silenced by its thread, not for all. Measured: StartTest (3), RunScriptTest (9) and AcceptorTest (3) pass; before, 5 of them failed (20 failed accepts took 20 s).

--- a/core/src/main/java/lupinvalve/core/Loop.java
+++ b/core/src/main/java/lupinvalve/core/Loop.java
@@ -84,27 +84,31 @@
     private void run() {
         while (!stopped) {
             try {
-                long next = deadlines.next();
-                long wait = next == Long.MAX_VALUE ? 1_000_000 : next - now();
-                Runnable work = wait <= 0 ? posted.poll() : posted.poll(wait, TimeUnit.MICROSECONDS);
-                // Deadlines come second: an answer that is here already beats the time-out it was racing.
-                for (int i = 0; work != null && i < 64; i++) {
-                    guarded(work);
-                    work = posted.poll();
-                }
-                if (work != null) {
-                    guarded(work);
-                }
-                for (Runnable due = deadlines.due(now()); due != null; due = deadlines.due(now())) {
-                    guarded(due);
-                }
-                pressing();
+                turn();
             } catch (InterruptedException e) {
                 Log.warn("core thread interrupted");
             }
         }
     }
 
+    private void turn() throws InterruptedException {
+        long next = deadlines.next();
+        long wait = next == Long.MAX_VALUE ? 1_000_000 : next - now();
+        Runnable work = wait <= 0 ? posted.poll() : posted.poll(wait, TimeUnit.MICROSECONDS);
+        // Deadlines come second: an answer that is here already beats the time-out it was racing.
+        for (int i = 0; work != null && i < 64; i++) {
+            guarded(work);
+            work = posted.poll();
+        }
+        if (work != null) {
+            guarded(work);
+        }
+        for (Runnable due = deadlines.due(now()); due != null; due = deadlines.due(now())) {
+            guarded(due);
+        }
+        pressing();
+    }
+
     private void pressing() {
         run(first);
         for (Runnable work = urgent.poll(); work != null; work = urgent.poll()) {
@@ -117,11 +121,14 @@
         run(work);
     }
 
-    /** Guards against one connection's fault ending the thread that serves all the others. */
+    /**
+     * Guards against one connection's fault ending the thread that serves all the others. Errors too: a class that can't be
+     * loaded or a stack that is too deep for one request would leave a process that listens and answers nobody.
+     */
     private static void run(Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             Log.failure("core", e);
         }
     }
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -42,8 +42,11 @@
     /** How often it is looked whether all has ended, and how often that must be so in turn. */
     private static final long SETTLE = 10_000;
     private static final int QUIET = 5;
-    /** How long a start waits for discovery's first word while another process serves. */
-    private static final long INFORMED_MILLIS = 1_500;
+    /**
+     * How long a start waits for discovery's first word, from when it was asked. Changes bind 6 s after discovery had them, so the
+     * list in the file may name db nodes that must not be used any more; nine in ten starts have to be over within 10 s.
+     */
+    private static final long FIRST_WORD_MILLIS = 4_000;
     private final NodeConfig config;
     private final Loop loop = new Loop();
     private final Net net = new Net(loop);
@@ -275,19 +278,15 @@
         if (operations != null) {
             // Operators may call from now on, and each call must be answered within a second.
             operations.start();
-            startCore();
-            WarmUp.run(config);
-        } else {
-            WarmUp.run(config);
-            startCore();
         }
+        // Discovery is asked first: its answer comes while the code warms up.
+        startCore();
+        long asked = System.nanoTime();
+        WarmUp.run(config);
         if (shared != null) {
             shared.start();
         }
-        if (operations != null && operations.succeeded()) {
-            // Somebody serves meanwhile, so there is time to learn what has changed since the list was written down.
-            informed.await(INFORMED_MILLIS, TimeUnit.MILLISECONDS);
-        }
+        awaitFirstWord(informed, asked);
         if (shared == null) {
             listenMysql();
         } else {
@@ -301,6 +300,21 @@
         Log.info("%s listens on %s:%d", config.name(), address().getHostString(), address().getPort());
     }
 
+    /**
+     * Guards against requests routed by the list in the file, which is as old as this process's start and what came before it took
+     * together. Where discovery can't be reached the list serves all the same, as nobody has been told anything newer.
+     */
+    private void awaitFirstWord(CountDownLatch informed, long askedNanos) throws InterruptedException {
+        if (http == null && dns == null) {
+            return;
+        }
+        long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - askedNanos);
+        if (!informed.await(Math.max(0, FIRST_WORD_MILLIS - passed), TimeUnit.MILLISECONDS)) {
+            Log.warn("discovery has not answered for %d ms: %s serves from the list of its file, revision %d", FIRST_WORD_MILLIS,
+                    config.name(), config.known().revision());
+        }
+    }
+
     /** Opens the MySQL front, unless it is open. */
     private void listenMysql() throws IOException {
         if (mysql != null && mysqlListener == null && operator.mysql() != null && operator.mysql().listen() != null) {
--- a/daemon/src/main/java/lupinvalve/cli/WarmUp.java
+++ b/daemon/src/main/java/lupinvalve/cli/WarmUp.java
@@ -65,11 +65,10 @@
         for (int i = 0; i < CLIENTS; i++) {
             clients.add(new ClientScript(config.site().settings().classes(), "w" + i, requests / CLIENTS, left));
         }
-        Log.Level level = Log.least();
-        // What this pooler says would be taken for the word of the one that serves.
-        Log.least(Log.Level.ERROR);
         try {
             loop.start();
+            // What this pooler says would be taken for the word of the one that serves, which has begun to ask discovery.
+            loop.post(() -> Log.leastHere(Log.Level.ERROR));
             loop.post(() -> {
                 pooler.start(1, List.of());
                 pooler.listed(new Directory.News(Routing.ListForm.FULL, entries));
@@ -82,7 +81,6 @@
             Thread.currentThread().interrupt();
         } finally {
             loop.stop();
-            Log.least(level);
         }
         return clients.stream().mapToInt(ClientScript::served).sum();
     }
--- a/daemon/src/test/java/lupinvalve/net/AcceptorTest.java
+++ b/daemon/src/test/java/lupinvalve/net/AcceptorTest.java
@@ -1,7 +1,9 @@
 package lupinvalve.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -59,6 +61,49 @@
         }
     }
 
+    /** A failed accept costs the one connection: clients behind it are taken at once, and the log tells of it. */
+    @Test
+    void failedAcceptsStopNothing() throws Exception {
+        ExecutorService threads = Executors.newCachedThreadPool();
+        SimpleIoProcessorPool<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, threads, 1, null);
+        AtomicInteger calls = new AtomicInteger();
+        Net.Acceptor acceptor = new Net.Acceptor(threads, processor, true, new AtomicInteger(), () -> true) {
+            @Override
+            NioSession takeNext(IoProcessor<NioSession> by, ServerSocketChannel handle) throws Exception {
+                if (calls.incrementAndGet() % 2 == 0) {
+                    handle.accept().close();
+                    throw new IOException("Software caused connection abort");
+                }
+                return super.takeNext(by, handle);
+            }
+        };
+        acceptor.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void sessionOpened(IoSession session) {
+                session.write(org.apache.mina.core.buffer.IoBuffer.wrap(new byte[] {'!'}));
+            }
+        });
+        int clients = 40;
+        int taken = 0;
+        try {
+            acceptor.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            long begun = System.nanoTime();
+            for (int i = 0; i < clients; i++) {
+                try (Socket client = new Socket(InetAddress.getLoopbackAddress(), acceptor.getLocalAddress().getPort())) {
+                    client.setSoTimeout(10_000);
+                    taken += client.getInputStream().read() == '!' ? 1 : 0;
+                }
+            }
+            long millis = (System.nanoTime() - begun) / 1_000_000;
+            assertEquals(clients / 2, taken);
+            assertTrue(millis < 2_000, clients / 2 + " failed accepts took " + millis + " ms");
+        } finally {
+            acceptor.dispose(false);
+            processor.dispose();
+            threads.shutdown();
+        }
+    }
+
     @Test
     void whatWaitsToBeTakenAsThePortClosesIsTaken() throws Exception {
         ExecutorService threads = Executors.newCachedThreadPool();
--- a/daemon/src/test/java/lupinvalve/stories/StartTest.java
+++ b/daemon/src/test/java/lupinvalve/stories/StartTest.java
@@ -1,5 +1,6 @@
 package lupinvalve.stories;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 import lupinvalve.cli.Daemon;
 import lupinvalve.config.OperatorConfig;
 import org.junit.jupiter.api.Test;
@@ -95,4 +97,23 @@
             }
         }
     }
+
+    @Test
+    void theProgramSaysWhatItStartsFrom() throws Exception {
+        Pattern start = Pattern.compile("INFO \\S+ starts: list of the file at revision \\d+ with 2 db nodes, discovery at 127.0.0.1:\\d+.*");
+        try (Discovery discovery = new Discovery();
+                World world = new World(OperatorConfig.NONE, new DbNode("s-1", true), new DbNode("s-2", false));
+                Program program = Program.serve(world.config(discovery.server, 1024))) {
+            String line = program.until("starts: ");
+            assertTrue(start.matcher(line).find(), line);
+            try (Socket call = discovery.server.accept()) {
+                Discovery.answer(call, "{\"revision\":9,\"complete\":true,\"members\":[" + world.nodes.get(0).entry() + "]}");
+                assertTrue(program.until("discovery's first word").contains("revision 9"));
+                program.until("listens on");
+                Discovery.answer(call, "");
+            }
+            program.signal("TERM");
+            assertEquals(0, program.exit(WITHIN_SECONDS));
+        }
+    }
 }
--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -6,6 +6,11 @@
 # The file may be large (a list of thousands of db nodes) and may be one line, so each byte is looked at once: a line is
 # split at its quotation marks, and the key is a part that is followed by a colon. Patterns that cut off a prefix
 # (${text#*key}) try every prefix anew, which took minutes for 960 db nodes.
+#
+# A signal may come before there is a program to hear it. What SIGHUP announces is in the file that the program has yet to
+# read, and SIGTERM ends nothing that was taken.
+trap '' HUP
+trap 'exit 0' TERM
 memory=
 if [ -r "$NODE_CONFIG" ]; then
     after_key=
@@ -57,6 +62,7 @@
 # A method is compiled after 50 calls in place of 200: clients come at full rate from the first second on, and code that
 # is still interpreted takes several times the part of a core that a pooler has.
 # The platform's sockets are IPv4 alone; a JVM left to itself opens IPv6 sockets that carry both.
+trap - HUP
 # shellcheck disable=SC2086
 exec java "$@" -XX:+UseSerialGC $start "-Xmx${heap}m" -XX:MaxDirectMemorySize=12m \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=24m -Xss256k -XX:TieredStopAtLevel=1 -Xshare:auto \
--- a/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
+++ b/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -40,6 +40,7 @@
     private long revision;
     /** Calls begun so far; which of them told the revision held; with which of them its numbers last began anew. */
     private long calls, toldBy, numberedBy;
+    private final long startedAt;
     private long knownUpTo;
 
     public HttpDirectory(Net net, Pooler pooler, InetSocketAddress address, ListReader reader, long revision) {
@@ -50,7 +51,8 @@
         this.revision = revision;
         loop = pooler.loop();
         schedule = new WatchSchedule(new Watches());
-        knownUpTo = loop.now();
+        startedAt = loop.now();
+        knownUpTo = startedAt;
         loop.beforeEach(this::look);
     }
 
@@ -142,6 +144,10 @@
             Log.info("discovery: revision %d after %d, not taken", listed.revision(), revision);
             return;
         }
+        if (toldBy == 0) {
+            Log.info("discovery's first word: revision %d, %d db nodes, after %d ms", listed.revision(), listed.entries().size(),
+                    (loop.now() - startedAt) / 1000);
+        }
         numberedBy = anew ? by.number : numberedBy;
         revision = listed.revision();
         toldBy = Math.max(toldBy, by.number);
@@ -168,7 +174,7 @@
         private final JsonObjects objects = new JsonObjects(ANSWER_MOST);
         private final Chunks chunks = new Chunks();
         private final Link link;
-        private final long number = ++calls, since = revision;
+        private final long number = ++calls, since = revision, begunAt = loop.now();
         private Deadlines.Deadline patience;
         private boolean bodied, chunked, over, told;
         private long length = -1, bodyBytes;
@@ -182,7 +188,7 @@
             this.watch = watch;
             watching = watch > 0;
             // A watch has the schedule's deadlines.
-            patience = watching ? null : loop.after(CALL, this::fail);
+            patience = watching ? null : loop.after(CALL, () -> fail("not answered in time"));
             link = net.dial(address, new Raw(), this);
         }
 
@@ -201,11 +207,12 @@
             return !whole && watching && beats && schedule.alone(watch) ? begunSince : Long.MIN_VALUE;
         }
 
-        private void fail() {
+        private void fail(String why) {
             if (over) {
                 return;
             }
-            Log.info("discovery: %s ended", watching ? "watch" : "call");
+            Log.info("discovery: %s %d at %s:%d ended after %d ms, %s, list at revision %d: %s", watching ? "watch" : "call", number,
+                    address.getHostString(), address.getPort(), (loop.now() - begunAt) / 1000, told ? "told" : "nothing told", revision, why);
             end();
             if (watching) {
                 schedule.failed(watch);
@@ -224,7 +231,7 @@
 
         @Override
         public void malformed(Link broken, String why) {
-            fail();
+            fail(why);
         }
 
         @Override
@@ -233,7 +240,7 @@
             if (!over && !watching && bodied && !chunked && length < 0 && body.size() > 0 && !ended.broke()) {
                 whole();
             } else {
-                fail();
+                fail(ended.broke() ? "reset" : "closed");
             }
         }
 
@@ -251,8 +258,7 @@
                     }
                 }
             } catch (IOException e) {
-                Log.warn("discovery: %s", e.getMessage());
-                fail();
+                fail(String.valueOf(e.getMessage()));
             }
         }
 
@@ -332,7 +338,7 @@
             }
             bodyBytes += bytes.length;
             if (!over && (chunks.ended() || length >= 0 && bodyBytes >= length)) {
-                fail();
+                fail("its answer is whole");
             }
         }
 
--- a/log/src/main/java/lupinvalve/log/Log.java
+++ b/log/src/main/java/lupinvalve/log/Log.java
@@ -9,6 +9,7 @@
     public enum Level { DEBUG, INFO, WARN, ERROR }
 
     private static volatile Level least = Level.INFO;
+    private static final ThreadLocal<Level> LEAST_HERE = new ThreadLocal<>();
     private static volatile PrintStream out = System.err;
 
     private Log() {}
@@ -18,6 +19,16 @@
         least = level;
     }
 
+    /** Lines of the calling thread under this level are dropped, whatever holds for other threads. */
+    public static void leastHere(Level level) {
+        LEAST_HERE.set(level);
+    }
+
+    private static Level leastForThisThread() {
+        Level here = LEAST_HERE.get();
+        return here == null ? least : here;
+    }
+
     public static Level least() {
         return least;
     }
@@ -28,7 +39,7 @@
     }
 
     public static boolean debugs() {
-        return least == Level.DEBUG;
+        return leastForThisThread() == Level.DEBUG;
     }
 
     public static void debug(String format, Object... values) {
@@ -58,7 +69,7 @@
     }
 
     private static void line(Level level, String format, Object... values) {
-        if (level.compareTo(least) < 0) {
+        if (level.compareTo(leastForThisThread()) < 0) {
             return;
         }
         // One line a call, whatever came from outside: control characters could forge further lines.
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -17,6 +17,7 @@
 import java.util.function.Function;
 import lupinvalve.core.Loop;
 import lupinvalve.log.Log;
+import lupinvalve.log.RepeatedWarnings;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.filterchain.IoFilter;
 import org.apache.mina.core.future.ConnectFuture;
@@ -224,6 +225,8 @@
      */
     static class Acceptor extends NioSocketAcceptor {
         private static final int TURNS = 40, TURN = 5;
+        private static final long LACK_MILLIS = 10;
+        private final RepeatedWarnings failures = new RepeatedWarnings();
         private final boolean shared;
         private final AtomicInteger accepted;
         private final BooleanSupplier room;
@@ -266,7 +269,13 @@
                 }
                 return null;
             }
-            NioSession session = super.accept(by, handle);
+            NioSession session;
+            try {
+                session = takeNext(by, handle);
+            } catch (IOException e) {
+                failed(e);
+                return null;
+            }
             took = session != null;
             if (took) {
                 accepted.incrementAndGet();
@@ -275,6 +284,28 @@
             return session;
         }
 
+        /**
+         * One connection could not be taken; those behind it can. MINA would stop taking any for a second. Only what this machine lacks
+         * is given a moment: the connection stays readable meanwhile, and asking again at once would keep a thread busy.
+         */
+        private void failed(IOException why) throws InterruptedException {
+            took = true;
+            failures.warn("accept failed: " + why.getMessage());
+            if (lacksResources(why)) {
+                Thread.sleep(LACK_MILLIS);
+            }
+        }
+
+        private static boolean lacksResources(IOException why) {
+            String text = String.valueOf(why.getMessage());
+            return text.startsWith("Too many open files") || text.startsWith("No buffer space") || text.startsWith("Cannot allocate");
+        }
+
+        /** Takes the connection that has waited longest, or gives null where none waits. */
+        NioSession takeNext(IoProcessor<NioSession> by, ServerSocketChannel handle) throws Exception {
+            return super.accept(by, handle);
+        }
+
         /** Waits a little for connections that are being ended; those that come behind one that waited in vain don't. */
         private boolean roomSoon() throws InterruptedException {
             for (int i = 0; i < TURNS && !crowded && !room.getAsBoolean(); i++) {
