Soak real daemons under failing clocks and calls, signals in series and early kills; log what happens

And the log at the default level said nothing of retries, refusals, failed attempts or changes of the list. Log: a line of counts each 5 s in which anything but answers came (retries, refusals, attempts by ending and db node), and each change of the list by name.

--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -29,6 +29,8 @@
     private static final long STALLED = 15_000_000;
     /** How often the figures of db nodes are counted anew; they may lag by 0.5 s. */
     private static final long COUNT_PACE = 100_000;
+    /** How long what happens to requests is counted before the log tells of it. */
+    private static final long SUMMARY_PERIOD = 5_000_000;
 
     /**
      * What a front asks.
@@ -136,6 +138,8 @@
     private Directory directory;
     private Marks marks = Marks.NONE;
     private Router router;
+    private final RequestSummary summary = new RequestSummary();
+    private boolean summaryDue;
     private boolean handling;
     private long lastAnswer = Long.MAX_VALUE;
 
@@ -362,6 +366,7 @@
         if (Log.debugs()) {
             Log.debug("%s#%d %s %s after %d us", held.id, a.number, a.node, ending, now - a.sentAt);
         }
+        note(summary.attempt(ending, a.node));
         if (ending == Ending.SERVED) {
             Runnable serve = () -> {
                 if (!held.answered) {
@@ -391,10 +396,10 @@
     /** News of the list. */
     public void listed(Directory.News news) {
         Set<String> unlisted = Set.of();
+        boolean first = listing.isEmpty();
         if (news.form() == Routing.ListForm.UNAVAILABLE) {
             Log.info("list: unavailable, the one held stays");
         } else if (news.form() != Routing.ListForm.UPDATE) {
-            Log.info("list: %s, %d db nodes", news.form(), news.entries().size());
             // Each deploy brings new ids: those that have left must not pile up.
             Set<String> missing = new HashSet<>(listing.keySet());
             news.entries().forEach(entry -> missing.remove(entry.member().node()));
@@ -405,6 +410,7 @@
             }
             unlisted = missing;
         }
+        tellLog(news, first, unlisted);
         for (Directory.Entry entry : news.entries()) {
             if (entry.member().health() == Routing.Health.GONE) {
                 if (listing.remove(entry.member().node()) != null) {
@@ -422,6 +428,15 @@
         }
     }
 
+    /** Before the news is taken over. */
+    private void tellLog(Directory.News news, boolean first, Set<String> unlisted) {
+        if (news.form() == Routing.ListForm.UNAVAILABLE) {
+            return;
+        }
+        String changes = first ? "the first" : ListChanges.text(listing, news.entries(), unlisted);
+        Log.info("list: %s of %d db nodes: %s", news.form(), news.entries().size(), changes);
+    }
+
     /** Tells the router of entries as maintenance has them, and drops what leads to those that are gone. */
     private void tell(Directory.News news) {
         long now = loop.now();
@@ -568,6 +583,7 @@
                     loop.now() - held.ask.arrivedMicros(), held.ask.group(), held.attempts,
                     held.attempts == 0 ? -1 : held.firstSent - held.ask.arrivedMicros(), held.ask.waitMicros());
         }
+        note(summary.request(how, end == Figures.End.SERVED));
         held.answered = true;
         loop.drop(held.overtime);
         requests.free(held.handle);
@@ -579,6 +595,17 @@
         }
     }
 
+    /** Has the log told of what was counted, a while after the first thing that is worth it. */
+    private void note(boolean worthALine) {
+        if (worthALine && !summaryDue) {
+            summaryDue = true;
+            loop.after(SUMMARY_PERIOD, () -> {
+                summaryDue = false;
+                Log.info("requests: %s", summary.take());
+            });
+        }
+    }
+
     // ---- what the router wants ----
 
     private void feed(Routing.Event event) {
@@ -669,6 +696,7 @@
         long wait = send.timeoutMicros() == 0 ? left : Math.min(send.timeoutMicros(), left);
         Attempt a = new Attempt(held, number, send.node(), now);
         a.handle = attempts.put(a);
+        summary.begins(number);
         held.out = a;
         a.timeout = loop.after(wait, () -> abandon(a, Ending.TIMED_OUT));
         backends.get(held.ask.protocol()).send(a.handle, a.node, address, held.ask.statement(), wait,
--- /dev/null
+++ b/core/src/test/java/lupinvalve/core/LogTextsTest.java
@@ -0,0 +1,54 @@
+package lupinvalve.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import lupinvalve.Routing;
+import lupinvalve.Routing.Ending;
+import org.junit.jupiter.api.Test;
+
+/** What an on-call engineer reads of requests and of the list at the default level. */
+class LogTextsTest {
+    private static Directory.Entry entry(String id, Routing.Health health, long born) {
+        return new Directory.Entry(new Routing.Member(id, 1, 0, health, false, born), Map.of("pg", "127.0.0.1:1"));
+    }
+
+    @Test
+    void summaryCountsEndsRetriesAndWhereAttemptsFailed() {
+        RequestSummary summary = new RequestSummary();
+        summary.begins(0);
+        summary.begins(1);
+        assertTrue(summary.attempt(Ending.NOT_CONNECTED, "s-1"));
+        assertFalse(summary.attempt(Ending.SERVED, "s-2"));
+        assertFalse(summary.request("served", true));
+        assertTrue(summary.request("refused", false));
+        assertEquals("1 refused, 1 served; 1 retries; attempts NOT_CONNECTED 1 (s-1 1)", summary.take());
+        assertEquals("; 0 retries", summary.take());
+    }
+
+    @Test
+    void summaryNamesTheDbNodesThatFailedMost() {
+        RequestSummary summary = new RequestSummary();
+        for (int node = 1; node <= 200; node++) {
+            for (int i = 0; i < (node <= 5 ? node + 1 : 1); i++) {
+                summary.attempt(Ending.TIMED_OUT, "s-" + node);
+            }
+        }
+        assertEquals("; 0 retries; attempts TIMED_OUT 215 (others 136, s-5 6, s-4 5 and 62 more)", summary.take());
+    }
+
+    @Test
+    void changesOfTheListAreNamedUpToAFew() {
+        Map<String, Directory.Entry> before = Map.of("s-1", entry("s-1", Routing.Health.LIVE, 1), "s-2", entry("s-2", Routing.Health.LIVE, 1));
+        assertEquals("nothing changed", ListChanges.text(before, before.values(), List.of()));
+        assertEquals("s-1 draining, s-2 restarted, s-3 new live, s-4 unlisted", ListChanges.text(before, List.of(
+                entry("s-1", Routing.Health.DRAINING, 1), entry("s-2", Routing.Health.LIVE, 2), entry("s-3", Routing.Health.LIVE, 1)),
+                List.of("s-4")));
+        List<String> gone = List.of("a", "b", "c", "d", "e", "f", "g", "h", "i", "j");
+        assertEquals("a unlisted, b unlisted, c unlisted, d unlisted, e unlisted, f unlisted, g unlisted, h unlisted and 2 more",
+                ListChanges.text(Map.of(), List.of(), gone));
+    }
+}
--- a/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -11,17 +11,20 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** One daemon through all its lives: the program as it ships, in a process of its own. Ends only what it started. */
 public final class DaemonProcess implements Closeable {
-    private static final int END_SECONDS = 10, TORN_MILLIS = 60;
+    private static final int END_SECONDS = 10, TORN_MILLIS = 60, SERIES_MILLIS = 150;
     public final String name;
     private final Path config, operator, said;
     private final Consumer<String> lines;
     /** The class that is started; the program's own unless a launcher stands before it. */
     private final List<String> main = new ArrayList<>(List.of("lupinvalve.cli.Main"));
+    private final Map<String, String> environment = new TreeMap<>();
     private int heapMegabytes = 64;
     private Process process;
     private boolean paused;
@@ -48,6 +51,11 @@
         heapMegabytes = megabytes;
     }
 
+    /** What the environment of its next starts holds besides this process's own. */
+    public void environment(Map<String, String> more) {
+        environment.putAll(more);
+    }
+
     /** The process's id; once it was started. */
     public long pid() {
         return process.pid();
@@ -90,7 +98,9 @@
         if (debugs) {
             command.add("--debug");
         }
-        process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().putAll(environment);
+        process = builder.start();
         Process mine = process;
         Threads.start("log of " + name, () -> read(mine));
     }
@@ -148,6 +158,30 @@
         return process.exitValue() == 0 ? null : name + " ended with " + process.exitValue();
     }
 
+    /**
+     * SIGHUP, SIGTERM and both once more in series, then SIGKILL as early as the platform may send it; what was wrong with its end, or
+     * null.
+     *
+     * @param killMillis from the first SIGTERM to SIGKILL
+     */
+    public String endBySeries(long killMillis) throws IOException, InterruptedException {
+        if (!runs()) {
+            return name + " does not run";
+        }
+        signal("HUP");
+        process.destroy();
+        long killAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(killMillis);
+        for (String next : List.of("HUP", "TERM", "HUP")) {
+            Thread.sleep(SERIES_MILLIS);
+            signal(next);
+        }
+        if (process.waitFor(killAt - System.nanoTime(), TimeUnit.NANOSECONDS)) {
+            return process.exitValue() == 0 ? null : name + " ended with " + process.exitValue();
+        }
+        kill();
+        return name + " had not ended when SIGKILL came after " + killMillis + " ms";
+    }
+
     @Override
     public void close() {
         if (process != null) {
--- a/rig/src/main/java/lupinvalve/rig/Drill.java
+++ b/rig/src/main/java/lupinvalve/rig/Drill.java
@@ -27,10 +27,14 @@
  */
 public final class Drill implements Closeable {
     private static final long STOOD = 2_000;
+    private static final List<SystemFaults.Kind> CALLS = List.of(SystemFaults.Kind.ACCEPT, SystemFaults.Kind.SOCKET, SystemFaults.Kind.CONNECT,
+            SystemFaults.Kind.EPOLL, SystemFaults.Kind.SHORT);
     private static final List<String> ZONES = List.of("east", "west");
     private static final int OPERATORS = 3, CLIENTS = 3, WITHIN_SECONDS = 30;
     /** How long a pooler that stood still owes nothing: what it held has run out by then. */
     private static final long WOKEN = 3_000;
+    /** The platform may send SIGKILL so long after SIGTERM and the longest deadline, which counts as so much at most. */
+    private static final long KILL_AFTER_DEADLINE = 700, LONGEST_DEADLINE = 3_000;
 
     /**
      * What a drill is made of.
@@ -50,6 +54,8 @@
         final NodeList list;
         /** By whom is dialled: other poolers' stores, and db nodes. */
         final Map<String, FaultProxy> ways = new TreeMap<>();
+        /** Of its system calls and clock; null where the scenario has none, or no C compiler is there. */
+        final SystemFaults faults;
         /** Stands before discovery where its word is to come late, else null. */
         FaultProxy lateList;
 
@@ -59,6 +65,10 @@
             this.pg = pg;
             name = "p" + number;
             process = new DaemonProcess(name, folder, this::said);
+            faults = faultLibrary == null ? null : SystemFaults.of(faultLibrary, folder.resolve(name + ".faults"));
+            if (faults != null) {
+                process.environment(faults.environment());
+            }
             Map<String, String> addresses = new TreeMap<>();
             for (DbNodes.DbNode node : nodes.all()) {
                 FaultProxy way = new FaultProxy(node.port(name));
@@ -160,13 +170,20 @@
     private final GroupLog group;
     private volatile DrillWatcher watcher = new DrillWatcher() { };
     private volatile boolean over;
+    private final Path faultLibrary;
+    private final long killMillis;
+    private final Crowd crowd = new Crowd();
     private final Stall stall = new Stall(() -> over);
 
     /** Sets all up; nothing runs yet. */
     public Drill(Setting setting) throws IOException {
         this.setting = setting;
         Scenario scenario = setting.scenario();
-        Routing.Rules rules = NodeConfig.read(setting.config(), null).site().settings().rules();
+        faultLibrary = scenario.steps().stream().anyMatch(step -> step.kind().ofSystem()) ? faultLibrary() : null;
+        Routing.Settings settings = NodeConfig.read(setting.config(), null).site().settings();
+        Routing.Rules rules = settings.rules();
+        long longest = settings.classes().stream().mapToLong(Routing.RequestClass::deadlineMicros).max().orElse(0) / 1000;
+        killMillis = Math.min(longest, LONGEST_DEADLINE) + KILL_AFTER_DEADLINE;
         timing = new Timing(new Timing.Rules(rules.drainGraceMicros() / 1000, rules.coldShare(), rules.warmUpMicros() / 1000,
                 rules.overloadMultiple(), rules.overloadMicros() / 1000));
         drains = new Drains(IntStream.range(0, scenario.poolers()).mapToObj(i -> "p" + i).toList(), timing);
@@ -197,6 +214,19 @@
         }
     }
 
+    private Path faultLibrary() throws IOException {
+        try {
+            Path library = SystemFaults.build(folder);
+            if (library == null) {
+                setting.log().println("no C compiler: clocks are not stepped and no system calls fail");
+            }
+            return library;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while the library of system faults was built", e);
+        }
+    }
+
     /** Has somebody hear what happens; before {@link #start}. */
     public void watch(DrillWatcher by) {
         watcher = by;
@@ -341,6 +371,17 @@
                     pooler(step.who()).start();
                 }
             }
+            case SIGNALS -> {
+                if (on && pooler(step.who()).process.runs() && SqlClients.takes(pooler(step.who()).pg)) {
+                    String wrong = pooler(step.who()).process.endBySeries(killMillis);
+                    if (wrong != null) {
+                        unclean.add(wrong);
+                    }
+                    pooler(step.who()).start();
+                }
+            }
+            case CLOCK, CALLS -> systemFaults(pooler(step.who()), step, on);
+            case CROWD -> crowd.act(pooler(step.who()).pg, (int) step.amount(), on);
             case LIST_SILENT -> {
                 if (on && pooler(step.who()).list.fallSilent()) {
                     drains.fellSilent(step.who(), System.currentTimeMillis());
@@ -356,6 +397,19 @@
         }
     }
 
+    private static void systemFaults(Pooler pooler, Step step, boolean on) {
+        if (pooler.faults == null) {
+            return;
+        }
+        if (step.kind() == Step.Kind.CLOCK) {
+            pooler.faults.set(SystemFaults.Kind.CLOCK, on ? (long) (step.amount() * 1e6) : 0);
+            return;
+        }
+        for (SystemFaults.Kind kind : CALLS) {
+            pooler.faults.set(kind, on ? (long) step.amount() : 0);
+        }
+    }
+
     private void overload(boolean on) throws IOException {
         discoveryLog.said(on ? "discovery is overloaded" : "discovery is overloaded no longer");
         discoveryQueue.overloaded(on);
@@ -388,6 +442,9 @@
         }
         for (Pooler pooler : poolers) {
             pooler.ways.values().forEach(FaultProxy::heal);
+            if (pooler.faults != null) {
+                pooler.faults.heal();
+            }
             pause(pooler, false);
             pooler.start();
         }
@@ -462,6 +519,11 @@
         return new DrillResult(played, book.verdict(), timing.verdict(), seen);
     }
 
+    /** Ends a pooler by signals in series; what was wrong with its end, or null. */
+    String endBySeries(String name, long millis) throws IOException, InterruptedException {
+        return pooler(name).process.endBySeries(millis);
+    }
+
     /** What was done when, as a scenario that replays it. */
     public Scenario course() {
         return new Scenario(poolers.size(), setting.scenario().groups(), course);
@@ -475,6 +537,7 @@
     /** Ends all that it started; the folder stays where it is to be looked at. */
     public void close(boolean keep) throws IOException {
         over = true;
+        crowd.close();
         for (Pooler pooler : poolers) {
             pooler.process.close();
             pooler.list.close();
--- a/rig/src/main/java/lupinvalve/rig/Scenario.java
+++ b/rig/src/main/java/lupinvalve/rig/Scenario.java
@@ -24,6 +24,8 @@
     public static final int MEMBERS = 3;
     private static final int POOLERS_LEAST = 3, POOLERS_MOST = 9, GROUPS_MOST = 4;
     private static final long LONGEST = 3_600_000;
+    /** By how many seconds a wall clock is stepped. */
+    private static final double[] CLOCK_STEPS = {-3_600, -5, -0.5, 0.5, 5, 3_600};
     private static final JsonFactory JSON = new JsonFactory();
 
     /** Checks the whole; throws IllegalArgumentException with the field and its value. */
@@ -43,7 +45,7 @@
                     : s.to().isEmpty();
             check(toIs && !s.to().equals(s.who()), at + "to", s.to(), s.kind().between
                     ? "another pooler, a db node, or " + Step.ALL : "none, as this kind has no other end");
-            check(s.kind().measured ? s.amount() > 0 : s.amount() == 0, at + "amount", s.amount(), s.kind().measured
+            check(s.kind().measured ? s.amount() > 0 || s.kind() == Step.Kind.CLOCK : s.amount() == 0, at + "amount", s.amount(), s.kind().measured
                     ? "over 0" : "none, as this kind has none");
             check(s.kind() != Step.Kind.LOSSY || s.amount() <= 1, at + "amount", s.amount(), "a part, at most 1");
         }
@@ -194,7 +196,11 @@
                 Step.Kind.NODE_KILL, Step.Kind.NODE_PAUSE, Step.Kind.NODE_SLOW, Step.Kind.POWER),
         /** Ends that are crossed by others: poolers told to end, silent lists, db nodes that drain or come back cold; and releases. */
         CROSSING(Step.Kind.RESTART, Step.Kind.RESTART, Step.Kind.KILL, Step.Kind.RELOAD, Step.Kind.LIST_SILENT, Step.Kind.LIST_SILENT,
-                Step.Kind.NODE_DRAIN, Step.Kind.NODE_DRAIN, Step.Kind.NODE_KILL, Step.Kind.NODE_SLOW);
+                Step.Kind.NODE_DRAIN, Step.Kind.NODE_DRAIN, Step.Kind.NODE_KILL, Step.Kind.NODE_SLOW),
+        /** Signals in series with early kills, clocks, calls and crowds beside drains, silent lists, dead db nodes and a release. */
+        SOAK(Step.Kind.SIGNALS, Step.Kind.SIGNALS, Step.Kind.KILL, Step.Kind.RELOAD, Step.Kind.CLOCK, Step.Kind.CALLS, Step.Kind.CALLS,
+                Step.Kind.CROWD, Step.Kind.LIST_SILENT, Step.Kind.NODE_DRAIN, Step.Kind.NODE_DRAIN, Step.Kind.NODE_KILL, Step.Kind.NODE_SLOW,
+                Step.Kind.PAUSE);
 
         private final Step.Kind[] kinds;
 
@@ -218,7 +224,7 @@
             long now = at;
             boolean spare = java.util.Arrays.stream(downUntil).filter(d -> d > now).count() + 1 <= (poolers - 1) / 2;
             boolean up = downUntil[one] <= at;
-            if (kind.ofNode() && groups == 0 || (kind.downs() || kind == Step.Kind.RESTART) && !(spare && up)
+            if (kind.ofNode() && groups == 0 || (kind.downs() || kind.ends()) && !(spare && up)
                     || kind == Step.Kind.POWER && !spare) {
                 continue;
             }
@@ -231,14 +237,16 @@
                 steps.add(new Step(at, kind, "n" + random.nextInt(groups * MEMBERS), "", amount(kind, random), until - at));
             } else if (kind.between) {
                 steps.add(new Step(at, kind, "p" + one, other(random, poolers, groups, one), amount(kind, random), until - at));
+            } else if (kind.measured) {
+                steps.add(new Step(at, kind, "p" + one, "", amount(kind, random), until - at));
             } else {
                 // A leader's end is the case that matters most.
                 boolean leads = kind == Step.Kind.KILL && random.nextInt(3) == 0;
                 downUntil[one] = until + 1_000;
-                steps.add(new Step(at, kind, leads ? Step.LEADER : "p" + one, "", 0, kind == Step.Kind.RESTART ? 0 : until - at));
+                steps.add(new Step(at, kind, leads ? Step.LEADER : "p" + one, "", 0, kind.ends() ? 0 : until - at));
             }
         }
-        if (mix == Mix.CROSSING) {
+        if (mix == Mix.CROSSING || mix == Mix.SOAK) {
             steps.addAll(Release.draw(poolers, groups, millis, seed));
         }
         return new Scenario(poolers, groups, steps);
@@ -261,6 +269,9 @@
             case LOSSY -> 0.02 + random.nextInt(20) / 100.0;
             case LIMIT -> 2_000 + random.nextInt(50_000);
             case NODE_SLOW -> 50 + random.nextInt(400);
+            case CLOCK -> CLOCK_STEPS[random.nextInt(CLOCK_STEPS.length)];
+            case CALLS -> 5 + random.nextInt(20);
+            case CROWD -> 100 + random.nextInt(200);
             default -> 0;
         };
     }
--- a/rig/src/main/java/lupinvalve/rig/Step.java
+++ b/rig/src/main/java/lupinvalve/rig/Step.java
@@ -26,6 +26,14 @@
         POWER(false, false),
         /** SIGTERM, and a start at once. */
         RESTART(false, false),
+        /** SIGHUP and SIGTERM twice in series, SIGKILL as early as the platform may send it, and a start at once. */
+        SIGNALS(false, false),
+        /** The wall clock is so many seconds off. */
+        CLOCK(false, true),
+        /** One in so many system calls of each kind fails, and reads and writes are short. */
+        CALLS(false, true),
+        /** So many connections are opened and left idle. */
+        CROWD(false, true),
         /** SIGHUP on a file that is written half, then on the whole one. */
         RELOAD(false, false),
         /** SIGSTOP, then SIGCONT. */
@@ -77,6 +85,16 @@
             return this == POWER || this == OVERLOAD;
         }
 
+        /** Whether it strikes the system that the pooler's process runs on. */
+        public boolean ofSystem() {
+            return this == CLOCK || this == CALLS;
+        }
+
+        /** Whether the pooler's process ends and is started at once. */
+        public boolean ends() {
+            return this == RESTART || this == SIGNALS;
+        }
+
         /** Whether the pooler's process does not run, or not on, while it lasts. */
         public boolean downs() {
             return DOWNS.contains(this);
