--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -127,7 +127,7 @@
     private final Map<String, Maintenance.Orders> ordersBy = new HashMap<>();
     private final Drain drain = new Drain();
     private final Figures figures;
-    private Runnable informed = () -> { };
+    private final FirstWord firstWord = new FirstWord();
     /** Whether this pooler may act on what it knows; null where that right can't end. */
     private BooleanSupplier fence;
     private final Map<String, Held> byId = new HashMap<>();
@@ -158,9 +158,9 @@
         return figures;
     }
 
-    /** Runs {@code then} at the first news that discovery itself has given; before {@link #start}. */
-    public void onceInformed(Runnable then) {
-        informed = then;
+    /** Discovery's first word to this process, or its refusal; from any thread. */
+    public FirstWord firstWord() {
+        return firstWord;
     }
 
     public Loop loop() {
@@ -423,8 +423,9 @@
         tell(news);
         unlisted.forEach(this::closeIdle);
         if (news.form() == Routing.ListForm.FULL || news.form() == Routing.ListForm.UPDATE) {
-            informed.run();
-            informed = () -> { };
+            firstWord.told();
+        } else if (news.form() == Routing.ListForm.UNAVAILABLE) {
+            firstWord.callFailed();
         }
     }
 
--- a/core/src/main/java/lupinvalve/core/Positions.java
+++ b/core/src/main/java/lupinvalve/core/Positions.java
@@ -3,6 +3,7 @@
 import java.math.BigDecimal;
 import java.util.regex.Pattern;
 import lupinvalve.Routing;
+import lupinvalve.log.RepeatedWarnings;
 
 /** Positions of the replication log as db nodes word them: Unix time in some unit. */
 public final class Positions {
@@ -10,6 +11,8 @@
     /** A commit is rounded up, and clocks agree; what lies further ahead is no position. */
     private static final long AHEAD = 1_000_000;
 
+    private static final RepeatedWarnings IMPOSSIBLE = new RepeatedWarnings();
+
     private Positions() {}
 
     /**
@@ -24,6 +27,10 @@
             return Routing.NO_POSITION;
         }
         long micros = new BigDecimal(text).movePointRight(digits).longValue();
-        return micros <= 0 || micros > now + AHEAD ? Routing.NO_POSITION : micros;
+        if (micros > now + AHEAD) {
+            IMPOSSIBLE.warn("a db node's position lies over 1 s ahead of this machine's wall clock and is not taken: spoilt, or one of the clocks is wrong");
+            return Routing.NO_POSITION;
+        }
+        return micros <= 0 ? Routing.NO_POSITION : micros;
     }
 }
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -11,6 +11,7 @@
 import lupinvalve.config.NodeConfig;
 import lupinvalve.config.OperatorConfig;
 import lupinvalve.core.Directory;
+import lupinvalve.core.FirstWord;
 import lupinvalve.core.Loop;
 import lupinvalve.core.Pooler;
 import lupinvalve.discovery.DnsDirectory;
@@ -273,8 +274,6 @@
                 throw new IOException("operator: " + config.operator() + " can't be listened on: " + e.getMessage(), e);
             }
         }
-        CountDownLatch informed = new CountDownLatch(1);
-        pooler.onceInformed(informed::countDown);
         if (operations != null) {
             // Operators may call from now on, and each call must be answered within a second.
             operations.start();
@@ -286,7 +285,7 @@
         if (shared != null) {
             shared.start();
         }
-        awaitFirstWord(informed, asked);
+        awaitFirstWord(asked);
         if (shared == null) {
             listenMysql();
         } else {
@@ -302,16 +301,17 @@
 
     /**
      * Guards against requests routed by the list in the file, which is as old as this process's start and what came before it took
-     * together. Where discovery can't be reached the list serves all the same, as nobody has been told anything newer.
+     * together. Where discovery turns calls down the list serves at once, as it has told nobody anything newer.
      */
-    private void awaitFirstWord(CountDownLatch informed, long askedNanos) throws InterruptedException {
+    private void awaitFirstWord(long askedNanos) throws InterruptedException {
         if (http == null && dns == null) {
             return;
         }
         long passed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - askedNanos);
-        if (!informed.await(Math.max(0, FIRST_WORD_MILLIS - passed), TimeUnit.MILLISECONDS)) {
-            Log.warn("discovery has not answered for %d ms: %s serves from the list of its file, revision %d", FIRST_WORD_MILLIS,
-                    config.name(), config.known().revision());
+        FirstWord.Outcome outcome = pooler.firstWord().await(FIRST_WORD_MILLIS - passed);
+        if (outcome != FirstWord.Outcome.TOLD) {
+            Log.warn("discovery: %s after %d ms: %s serves from the list of its file, revision %d", outcome,
+                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - askedNanos), config.name(), config.known().revision());
         }
     }
 
--- a/daemon/src/test/java/lupinvalve/stories/StartTest.java
+++ b/daemon/src/test/java/lupinvalve/stories/StartTest.java
@@ -98,6 +98,27 @@
         }
     }
 
+    @Test
+    void whereDiscoveryTurnsCallsDownItServesFromTheListInItsFileAtOnce() throws Exception {
+        AtomicBoolean failed = new AtomicBoolean();
+        try (Discovery discovery = new Discovery(); World world = new World(OperatorConfig.NONE, new DbNode("s-1", true))) {
+            Daemon restarted = World.daemon(world.config(discovery.server, 1024), OperatorConfig.NONE, null);
+            try {
+                CountDownLatch started = start(restarted, failed);
+                for (int call = 0; call < 2; call++) {
+                    try (Socket turnedDown = discovery.server.accept()) {
+                        turnedDown.getOutputStream().write("HTTP/1.1 503 Service Unavailable\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                    }
+                }
+                // The third call is not answered, and holds nothing up.
+                assertTrue(started.await(PENDING_MILLIS, TimeUnit.MILLISECONDS));
+                assertFalse(failed.get());
+            } finally {
+                restarted.stop();
+            }
+        }
+    }
+
     @Test
     void theProgramSaysWhatItStartsFrom() throws Exception {
         Pattern start = Pattern.compile("INFO \\S+ starts: list of the file at revision \\d+ with 2 db nodes, discovery at 127.0.0.1:\\d+.*");
--- a/decisions/src/main/java/lupinvalve/Roster.java
+++ b/decisions/src/main/java/lupinvalve/Roster.java
@@ -1,8 +1,8 @@
 package lupinvalve;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import lupinvalve.State.Group;
 import lupinvalve.State.Node;
 import lupinvalve.State.Scene;
@@ -68,7 +68,8 @@
             heard();
         }
         boolean whole = news.form() != Routing.ListForm.UPDATE;
-        List<Node> unnamed = whole ? new ArrayList<>(s.nodes.values()) : new ArrayList<>();
+        // Of thousands: each is looked up and taken out once.
+        Set<Node> unnamed = whole ? new LinkedHashSet<>(s.nodes.values()) : new LinkedHashSet<>();
         for (Routing.Member m : news.members()) {
             if (m.health() == Routing.Health.GONE && !s.nodes.containsKey(m.node())) {
                 continue;
