Leave 0.3 s sooner at the end, and wait on where an overloaded discovery only fails some calls

Change: the sockets' threads are ended before the halt; only calls that fail within 0.1 s count as turned down, others are waited on up to the 4 s (StartTest).

--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -424,8 +424,6 @@
         unlisted.forEach(this::closeIdle);
         if (news.form() == Routing.ListForm.FULL || news.form() == Routing.ListForm.UPDATE) {
             firstWord.told();
-        } else if (news.form() == Routing.ListForm.UNAVAILABLE) {
-            firstWord.callFailed();
         }
     }
 
--- a/daemon/src/main/java/lupinvalve/cli/Serve.java
+++ b/daemon/src/main/java/lupinvalve/cli/Serve.java
@@ -56,7 +56,8 @@
             } catch (InterruptedException e) {
                 Log.warn("interrupted while draining");
             }
-            daemon.leaveGroup();
+            // A JVM that is halted waits 0.3 s for threads that wait in the system, as those of sockets do; SIGKILL may come sooner.
+            daemon.stop();
             Log.info("stopped");
             Runtime.getRuntime().halt(exitCode);
         }, "drain"));
--- a/daemon/src/test/java/lupinvalve/stories/StartTest.java
+++ b/daemon/src/test/java/lupinvalve/stories/StartTest.java
@@ -24,6 +24,8 @@
     /** Longer than the rest of a start takes; a port that opens meanwhile opened on the old list. */
     private static final long PENDING_MILLIS = 2_500;
     private static final long WITHIN_SECONDS = 10;
+    /** How long a call waits before it fails. */
+    private static final long WAITED_MILLIS = 500;
 
     /** Discovery that takes calls and leaves it to the test when, and whether, they are answered. */
     private static final class Discovery implements Closeable {
@@ -119,6 +121,32 @@
         }
     }
 
+    /** An overloaded discovery has calls wait, fails some and answers others: what it has told others may bind here. */
+    @Test
+    void callsThatFailAfterTheyHaveWaitedDoNotEndTheWait() throws Exception {
+        AtomicBoolean failed = new AtomicBoolean();
+        try (Discovery discovery = new Discovery(); World world = new World(OperatorConfig.NONE, new DbNode("s-1", true))) {
+            Daemon restarted = World.daemon(world.config(discovery.server, 1024), OperatorConfig.NONE, null);
+            try {
+                CountDownLatch started = start(restarted, failed);
+                for (int call = 0; call < 2; call++) {
+                    try (Socket reset = discovery.server.accept()) {
+                        assertFalse(started.await(WAITED_MILLIS, TimeUnit.MILLISECONDS));
+                        reset.setSoLinger(true, 0);
+                    }
+                }
+                try (Socket call = discovery.server.accept()) {
+                    assertFalse(started.await(WAITED_MILLIS, TimeUnit.MILLISECONDS), "serves from a list that may be old");
+                    Discovery.answer(call, "{\"revision\":9,\"complete\":true,\"members\":[" + world.nodes.get(0).entry() + "]}");
+                    assertTrue(started.await(WITHIN_SECONDS, TimeUnit.SECONDS));
+                }
+                assertFalse(failed.get());
+            } finally {
+                restarted.stop();
+            }
+        }
+    }
+
     @Test
     void theProgramSaysWhatItStartsFrom() throws Exception {
         Pattern start = Pattern.compile("INFO \\S+ starts: list of the file at revision \\d+ with 2 db nodes, discovery at 127.0.0.1:\\d+.*");
--- a/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
+++ b/discovery/src/main/java/lupinvalve/discovery/HttpDirectory.java
@@ -213,6 +213,7 @@
             }
             Log.info("discovery: %s %d at %s:%d ended after %d ms, %s, list at revision %d: %s", watching ? "watch" : "call", number,
                     address.getHostString(), address.getPort(), (loop.now() - begunAt) / 1000, told ? "told" : "nothing told", revision, why);
+            pooler.firstWord().callFailed(loop.now() - begunAt);
             end();
             if (watching) {
                 schedule.failed(watch);
--- a/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
+++ b/rig/src/main/java/lupinvalve/rig/DaemonProcess.java
@@ -146,11 +146,12 @@
     }
 
     /** SIGTERM; what was wrong with its end, or null. */
-    public String end() throws InterruptedException {
+    public String end() throws IOException, InterruptedException {
         if (!runs()) {
             return name + " does not run";
         }
-        process.destroy();
+        // Process.destroy would close the pipe that its log comes by.
+        signal("TERM");
         if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
             process.destroyForcibly().waitFor();
             return name + " did not end in " + END_SECONDS + " s";
@@ -169,7 +170,7 @@
             return name + " does not run";
         }
         signal("HUP");
-        process.destroy();
+        signal("TERM");
         long killAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(killMillis);
         for (String next : List.of("HUP", "TERM", "HUP")) {
             Thread.sleep(SERIES_MILLIS);
