End the threads of sockets before the program halts, so that it is gone at once

Cause: the JVM's halt waits 0.3 s for threads that are in epoll_wait: after "stopped" the process stood 0.32 s with "Acceptor-15: do_epoll_wait" (four of four ends, /proc task list). Change: Net.close also ends the acceptors and its thread pool, and the program waits 60 ms at most for them.

--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -40,6 +40,8 @@
     /** Descriptors kept for files, listeners, discovery and the JVM; of these, connections on their way out may take some. */
     private static final int SPARE = 64, PARTING = 16;
     private static final long PROBE = 250_000;
+    /** How long threads of sockets may take to end: less than a halt would wait for them. */
+    private static final long THREADS_MILLIS = 60;
     /** How often it is looked whether all has ended, and how often that must be so in turn. */
     private static final long SETTLE = 10_000;
     private static final int QUIET = 5;
@@ -442,6 +444,19 @@
         }
     }
 
+    /**
+     * Drops everything and waits a moment for the threads of all sockets. A JVM that is halted waits 0.3 s for those that wait in the
+     * system, and SIGKILL may come sooner.
+     */
+    public void stopWithThreads() throws InterruptedException {
+        stop();
+        for (Net each : List.of(net, listing)) {
+            if (!each.awaitEnd(THREADS_MILLIS)) {
+                Log.info("threads of sockets have not ended in %d ms", THREADS_MILLIS);
+            }
+        }
+    }
+
     /** Drops everything at once, as if killed. */
     public void stop() {
         leaveGroup();
--- a/daemon/src/main/java/lupinvalve/cli/Serve.java
+++ b/daemon/src/main/java/lupinvalve/cli/Serve.java
@@ -53,11 +53,10 @@
             daemon.drain(stopped::countDown);
             try {
                 stopped.await();
+                daemon.stopWithThreads();
             } catch (InterruptedException e) {
                 Log.warn("interrupted while draining");
             }
-            // A JVM that is halted waits 0.3 s for threads that wait in the system, as those of sockets do; SIGKILL may come sooner.
-            daemon.stop();
             Log.info("stopped");
             Runtime.getRuntime().halt(exitCode);
         }, "drain"));
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -11,7 +11,9 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -46,7 +48,7 @@
     private volatile int sessionsMost = Integer.MAX_VALUE;
     private final AtomicInteger accepted = new AtomicInteger();
     private final Room memory = new Room(UNFINISHED_MOST);
-    private final Executor threads = Executors.newCachedThreadPool(work -> {
+    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
         Thread thread = new Thread(null, work, "net", 256 << 10);
         thread.setDaemon(true);
         return thread;
@@ -404,11 +406,18 @@
     /** Closes every connection and listener. */
     public void close() {
         threads.execute(() -> {
+            acceptors.forEach(acceptor -> acceptor.dispose(false));
             connector.dispose(false);
             processor.dispose();
+            threads.shutdown();
         });
     }
 
+    /** Waits until the threads of all connections and listeners have ended, so long at most; after {@link #close}. */
+    public boolean awaitEnd(long millis) throws InterruptedException {
+        return threads.awaitTermination(millis, TimeUnit.MILLISECONDS);
+    }
+
     private static class Handler extends IoHandlerAdapter {
         @Override
         public void sessionOpened(IoSession session) {
