Let a daemon be stopped twice, as before

GroupStoryTest#aRestartServesBeforeDiscoveryAnswers: "RejectedExecutionException ... at Net.close(Net.java:408)": Net.close ends its thread pool since, and the test's second stop hands it work. Change: Net.close does nothing once it is done. Measured: GroupStoryTest, StartTest, SignalsTest pass.

--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -403,8 +403,11 @@
         return now - progress.ageMicros();
     }
 
-    /** Closes every connection and listener. */
+    /** Closes every connection and listener; once done it does nothing more. */
     public void close() {
+        if (threads.isShutdown()) {
+            return;
+        }
         threads.execute(() -> {
             acceptors.forEach(acceptor -> acceptor.dispose(false));
             connector.dispose(false);
