Close a network once even where two ask at the same time; a clock step of 0 is refused

Cause, found on reading the change again: Net.close looked at the pool's isShutdown, which only holds once the first close's task has run, so a second close just then was still rejected. And let a scenario's CLOCK step have any amount, 0 too, without saying so: the check of amounts was looser for that kind than for all others, whose amount must be over 0. Change: an AtomicBoolean decides; CLOCK may be negative, as clocks are stepped back, but not 0.

--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -46,6 +47,7 @@
     private final boolean urgent;
     private volatile BooleanSupplier fence;
     private volatile int sessionsMost = Integer.MAX_VALUE;
+    private final AtomicBoolean closing = new AtomicBoolean();
     private final AtomicInteger accepted = new AtomicInteger();
     private final Room memory = new Room(UNFINISHED_MOST);
     private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
@@ -405,7 +407,7 @@
 
     /** Closes every connection and listener; once done it does nothing more. */
     public void close() {
-        if (threads.isShutdown()) {
+        if (closing.getAndSet(true)) {
             return;
         }
         threads.execute(() -> {
--- a/rig/src/main/java/lupinvalve/rig/Scenario.java
+++ b/rig/src/main/java/lupinvalve/rig/Scenario.java
@@ -45,7 +45,7 @@
                     : s.to().isEmpty();
             check(toIs && !s.to().equals(s.who()), at + "to", s.to(), s.kind().between
                     ? "another pooler, a db node, or " + Step.ALL : "none, as this kind has no other end");
-            check(s.kind().measured ? s.amount() > 0 || s.kind() == Step.Kind.CLOCK : s.amount() == 0, at + "amount", s.amount(), s.kind().measured
+            check(s.kind().measured ? s.amount() > 0 || s.kind() == Step.Kind.CLOCK && s.amount() != 0 : s.amount() == 0, at + "amount", s.amount(), s.kind().measured
                     ? "over 0" : "none, as this kind has none");
             check(s.kind() != Step.Kind.LOSSY || s.amount() <= 1, at + "amount", s.amount(), "a part, at most 1");
         }
