--- a/core/src/main/java/lupinvalve/core/EventLoop.java
+++ b/core/src/main/java/lupinvalve/core/EventLoop.java
@@ -10,6 +10,9 @@
  * thread of its event loop, the core thread, so they need no locks.
  */
 public final class EventLoop {
+    /** Name of the core's thread. */
+    public static final String CORE_THREAD_NAME = "core";
+
     private static final long DELAY_LOG_PERIOD_MICROS = 500_000;
     private static final long IDLE_WAIT_MICROS = 1_000_000;
     /** Posted tasks that are run before due timers get a turn. */
@@ -28,7 +31,7 @@
 
     /** Creates the core's event loop. */
     public EventLoop() {
-        this("core");
+        this(CORE_THREAD_NAME);
     }
 
     /**
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -6,6 +6,7 @@
 import lupinvalve.log.Log;
 import lupinvalve.maintenance.ClientDrain;
 import lupinvalve.maintenance.DrainCommands;
+import lupinvalve.maintenance.MemoryBudgets;
 import lupinvalve.maintenance.Metrics;
 import lupinvalve.routing.AttemptOutcome;
 import lupinvalve.routing.ListForm;
@@ -42,12 +43,23 @@
     private final EndpointDraining draining;
     private final EndpointUpdates endpointUpdates;
     private final RouterDriver router;
+    private final MemoryBudgets memory;
     private EndpointDiscovery discovery;
 
-    /** Creates a pooler that runs on the loop's thread once the loop has been started. */
+    /** A pooler with budgets of its own for the heap of this process. */
     public Pooler(EventLoop loop, RouterSettings settings) {
+        this(loop, settings, MemoryBudgets.ofThisProcess());
+    }
+
+    /**
+     * Creates a pooler that runs on the loop's thread once the loop has been started.
+     *
+     * @param memory the memory for clients' commands and their answers, which frontends and backends share
+     */
+    public Pooler(EventLoop loop, RouterSettings settings, MemoryBudgets memory) {
         this.loop = loop;
         this.settings = settings;
+        this.memory = memory;
         metrics =
                 new Metrics(settings.classes().stream().map(RequestClass::name).toList());
         RequestLog log = new RequestLog(loop);
@@ -81,6 +93,11 @@
         return loop;
     }
 
+    /** The memory for clients' commands and their answers; any thread. */
+    public MemoryBudgets memory() {
+        return memory;
+    }
+
     /** The router's settings; any thread. */
     public RouterSettings settings() {
         return settings;
@@ -119,6 +136,7 @@
         List<RouterAction> first = router.start(seed, settings);
         onEndpointListEvent(new EndpointListEvent(ListForm.RESTORED, restored));
         first.forEach(this::perform);
+        new MemoryLog(loop, memory).start();
     }
 
     /**
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -21,6 +21,7 @@
 import lupinvalve.discovery.HttpEndpointDiscovery;
 import lupinvalve.log.Log;
 import lupinvalve.maintenance.ClientDrain;
+import lupinvalve.maintenance.MemoryBudgets;
 import lupinvalve.mysql.MysqlBackend;
 import lupinvalve.mysql.MysqlFront;
 import lupinvalve.net.Addresses;
@@ -70,7 +71,8 @@
 
     private final NodeConfig config;
     private final EventLoop loop = new EventLoop();
-    private final Net net = new Net(loop);
+    private final MemoryBudgets memory = MemoryBudgets.ofThisProcess();
+    private final Net net = new Net(loop, memory);
     /**
      * For discovery alone, with its own I/O thread: a db node's departure must be in force 250 ms after it was
      * notified. On a shared thread, endpoint lists waited longer than that behind requests right after a start, when
@@ -123,7 +125,7 @@
         this.config = config;
         operator = operatorFile;
         localConfig = operatorFile;
-        pooler = new Pooler(loop, config.site().settings());
+        pooler = new Pooler(loop, config.site().settings(), memory);
         if (operator.store() != null) {
             shared = new Shared(pooler, operator.store(), factory, this::applyAccepted, this::applySelfDrain);
             operator = localConfig.accepted(shared.document());
@@ -427,6 +429,11 @@
         });
     }
 
+    /** The memory for clients' commands and their answers. */
+    public MemoryBudgets memory() {
+        return memory;
+    }
+
     /** Address of the admin interface. */
     public InetSocketAddress adminAddress() {
         return adminServer.address();
--- a/daemon/src/test/java/lupinvalve/integration/Program.java
+++ b/daemon/src/test/java/lupinvalve/integration/Program.java
@@ -5,10 +5,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -18,7 +18,7 @@
     private final Path config;
     private final Process process;
     private final BufferedReader log;
-    private final List<String> lines = new ArrayList<>();
+    private final List<String> lines = new CopyOnWriteArrayList<>();
 
     private Program(Path config, Process process) {
         this.config = config;
@@ -32,6 +32,16 @@
 
     /** @param environment variables in addition to the test's environment */
     static Program serve(String configuration, Map<String, String> environment) throws IOException {
+        return start("lupinvalve.cli.Main", configuration, environment);
+    }
+
+    /** Serves by another main class, which takes the arguments of the program's own. */
+    static Program serveBy(Class<?> main, String configuration) throws IOException {
+        return start(main.getName(), configuration, Map.of());
+    }
+
+    private static Program start(String mainClass, String configuration, Map<String, String> environment)
+            throws IOException {
         Path config = Files.createTempFile("lupinvalve", ".json");
         Files.writeString(config, configuration);
         ProcessBuilder command = new ProcessBuilder(
@@ -40,7 +50,7 @@
                         "-XX:TieredStopAtLevel=1",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        "lupinvalve.cli.Main",
+                        mainClass,
                         "serve",
                         "--config",
                         config.toString())
@@ -70,6 +80,25 @@
         throw new AssertionError("log ended without: " + text + " in " + lines);
     }
 
+    /** Starts to read the rest of the log, so that the program is not held up by it. */
+    void readLog() {
+        World.thread(() -> {
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                lines.add(line);
+            }
+        });
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Writes a line to the program's standard input. */
+    void sendLine(String line) throws IOException {
+        process.outputWriter().write(line + "\n");
+        process.outputWriter().flush();
+    }
+
     /** The lines of the log that have been read so far. */
     List<String> lines() {
         return List.copyOf(lines);
--- a/daemon/src/test/java/lupinvalve/integration/World.java
+++ b/daemon/src/test/java/lupinvalve/integration/World.java
@@ -31,6 +31,8 @@
         Log.setLevel(Log.Level.ERROR);
     }
 
+    private static final int PROTOCOL_VERSION_3 = 3 << 16;
+
     public final List<DbNode> nodes;
     public final Daemon daemon;
     final AtomicInteger watchesCount = new AtomicInteger();
@@ -219,21 +221,32 @@
 
     /** A plain socket to the PostgreSQL frontend that has sent its startup message and these queries. */
     Socket raw(String... queries) throws IOException {
-        Socket socket = new Socket("127.0.0.1", daemon.address().getPort());
+        return raw(daemon.address().getPort(), queries);
+    }
+
+    /** As {@link #raw(String...)}, to the frontend on a port of this machine. */
+    static Socket raw(int port, String... queries) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout(10_000);
         java.io.ByteArrayOutputStream bytes = new java.io.ByteArrayOutputStream();
-        java.io.DataOutputStream out = new java.io.DataOutputStream(bytes);
-        byte[] names = "user\0api\0database\0ledger\0\0".getBytes(UTF_8);
-        out.writeInt(8 + names.length);
-        out.writeInt(196608);
-        out.write(names);
+        bytes.write(startup());
         for (String query : queries) {
-            out.write(query(query));
+            bytes.write(query(query));
         }
         socket.getOutputStream().write(bytes.toByteArray());
         return socket;
     }
 
+    /** Encodes a startup message. */
+    static byte[] startup() {
+        byte[] names = "user\0api\0database\0ledger\0\0".getBytes(UTF_8);
+        return java.nio.ByteBuffer.allocate(2 * Integer.BYTES + names.length)
+                .putInt(2 * Integer.BYTES + names.length)
+                .putInt(PROTOCOL_VERSION_3)
+                .put(names)
+                .array();
+    }
+
     /** Encodes a simple query message. */
     static byte[] query(String text) {
         byte[] bytes = (text + "\0").getBytes(UTF_8);
--- a/daemon/src/test/java/lupinvalve/net/HeldLinkTest.java
+++ b/daemon/src/test/java/lupinvalve/net/HeldLinkTest.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import lupinvalve.core.EventLoop;
 import lupinvalve.integration.World;
+import lupinvalve.maintenance.ByteBudget;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.DummySession;
 import org.junit.jupiter.api.Test;
@@ -56,13 +57,14 @@
         EventLoop loop = new EventLoop();
         loop.start();
         ByteBudget budget = new ByteBudget(10_000);
+        LinkBudgets budgets = new LinkBudgets(budget, new ByteBudget(Long.MAX_VALUE), OutputMeter.NONE);
         List<String> faults = new CopyOnWriteArrayList<>();
         Framer never = (bytes, from, to, out) -> from;
         List<Link> links = new ArrayList<>();
         try {
             for (int i = 0; i < 4; i++) {
                 links.add(new Link(
-                        loop, i == 3 ? EVERY_READ : never, events(new AtomicReference<>(), faults), budget, false));
+                        loop, i == 3 ? EVERY_READ : never, events(new AtomicReference<>(), faults), budgets, false));
                 links.get(i).onReceived(new DummySession(), IoBuffer.allocate(4500));
             }
             World.await("the third exceeds the budget", () -> faults.size() > 0);
--- /dev/null
+++ b/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
@@ -0,0 +1,89 @@
+package lupinvalve.maintenance;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The memory for answers of all protocols: those being received from db nodes, and those that clients have not read
+ * yet. Unread answers may take only a part of it, so that clients that read slowly leave room for the others. Safe for
+ * all threads.
+ */
+public final class AnswerBudget {
+    /** The part of the budget that answers may take whose clients have earlier answers unread. */
+    private static final double UNREAD_RATIO = 2.0 / 3;
+    /** The part of that from which such clients get no further requests served. */
+    private static final double NEAR_LIMIT_RATIO = 0.75;
+
+    /** What errors and other short answers, which are always written, may take beside the budget. */
+    private static final double SHORT_ANSWERS_RATIO = 0.125;
+
+    private final long limitBytes;
+    private final long unreadLimitBytes;
+    private final AtomicLong incomingBytes = new AtomicLong();
+    private final AtomicLong unreadBytes = new AtomicLong();
+
+    /** @param limitBytes bound on all answers together */
+    public AnswerBudget(long limitBytes) {
+        this.limitBytes = limitBytes;
+        unreadLimitBytes = (long) (limitBytes * UNREAD_RATIO);
+    }
+
+    /** Reserves memory for a part of an answer that a db node is sending; false if it is not available. */
+    public boolean reserveIncoming(long bytes) {
+        if (incomingBytes.addAndGet(bytes) + unreadBytes.get() > limitBytes) {
+            incomingBytes.addAndGet(-bytes);
+            return false;
+        }
+        return true;
+    }
+
+    /** Releases what {@link #reserveIncoming} has reserved. */
+    public void releaseIncoming(long bytes) {
+        incomingBytes.addAndGet(-bytes);
+    }
+
+    /**
+     * Whether a complete answer may be kept until its client has read it.
+     *
+     * @param hasUnread whether the client has earlier answers unread; one that has none is not denied its answer
+     *     because of other clients that read slowly
+     */
+    public boolean hasRoom(long bytes, boolean hasUnread) {
+        long unreadThen = unreadBytes.get() + bytes;
+        return hasUnread ? unreadThen <= unreadLimitBytes : unreadThen + incomingBytes.get() <= limitBytes;
+    }
+
+    /** Counts bytes of answers that clients have not read; releases them if the number is negative. */
+    public void addUnread(long bytes) {
+        unreadBytes.addAndGet(bytes);
+    }
+
+    /** Whether unread answers take most of their part, so that clients with unread answers must read first. */
+    public boolean isNearLimit() {
+        return unreadBytes.get() > unreadLimitBytes * NEAR_LIMIT_RATIO;
+    }
+
+    /** Whether unread answers take more than the whole budget, with all that is written beside it. */
+    public boolean isExhausted() {
+        return unreadBytes.get() >= limitBytes * (1 + SHORT_ANSWERS_RATIO);
+    }
+
+    /** Whether more than half is taken. */
+    public boolean isHalfTaken() {
+        return incomingBytes.get() + unreadBytes.get() > limitBytes / 2;
+    }
+
+    /** Bytes of answers that are being received. */
+    public long incomingBytes() {
+        return incomingBytes.get();
+    }
+
+    /** Bytes of answers that clients have not read. */
+    public long unreadBytes() {
+        return unreadBytes.get();
+    }
+
+    /** Bound on all answers together. */
+    public long limitBytes() {
+        return limitBytes;
+    }
+}
--- /dev/null
+++ b/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
@@ -0,0 +1,48 @@
+package lupinvalve.maintenance;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A limit on memory for one purpose, shared by all connections of a process. Safe for all threads. */
+public final class ByteBudget {
+    private final long limitBytes;
+    private final AtomicLong takenBytes = new AtomicLong();
+
+    /** A budget of which nothing is taken. */
+    public ByteBudget(long limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    /** Reserves bytes, or releases them if the number is negative; false if they are not available. */
+    public boolean reserve(long bytes) {
+        if (takenBytes.addAndGet(bytes) > limitBytes && bytes > 0) {
+            takenBytes.addAndGet(-bytes);
+            return false;
+        }
+        return true;
+    }
+
+    /** Counts bytes that are kept whether they are available or not; releases them if the number is negative. */
+    public void add(long bytes) {
+        takenBytes.addAndGet(bytes);
+    }
+
+    /** Whether nothing more is available. */
+    public boolean isExhausted() {
+        return takenBytes.get() >= limitBytes;
+    }
+
+    /** Whether more than half is taken. */
+    public boolean isHalfTaken() {
+        return takenBytes.get() > limitBytes / 2;
+    }
+
+    /** Bytes that are taken now. */
+    public long takenBytes() {
+        return takenBytes.get();
+    }
+
+    /** Bytes that may be taken. */
+    public long limitBytes() {
+        return limitBytes;
+    }
+}
--- a/maintenance/src/main/java/lupinvalve/maintenance/ResourceBudgets.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/ResourceBudgets.java
@@ -12,11 +12,6 @@
     static final long MIN_STREAM_BUFFER_BYTES = 8 << 10;
     /** Larger buffers do not speed up any client. */
     static final long MAX_STREAM_BUFFER_BYTES = 128 << 10;
-    /**
-     * For all answers that must be buffered until they are complete. None of them can stay on the db node's machine
-     * meanwhile, so an answer that exceeds the budget fails.
-     */
-    private static final long BUFFERED_ANSWERS_BUDGET_BYTES = 12 << 20;
 
     private ResourceBudgets() {}
 
@@ -25,11 +20,6 @@
         return anotherProcessRuns ? Math.max(1, total / 2) : total;
     }
 
-    /** Whether an answer of {@code moreBytes} may be buffered whole in addition to {@code bufferedBytes}. */
-    public static boolean canBuffer(long bufferedBytes, int moreBytes) {
-        return bufferedBytes + moreBytes <= BUFFERED_ANSWERS_BUDGET_BYTES;
-    }
-
     /** Size of the buffer of each stream, in bytes, if there are {@code streams} of them. */
     public static long streamBufferBytes(int streams) {
         return Math.max(
--- /dev/null
+++ b/maintenance/src/test/java/lupinvalve/maintenance/MemoryBudgetsTest.java
@@ -0,0 +1,59 @@
+package lupinvalve.maintenance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The memory that is kept for clients fits the heap, and slow clients leave a part of it to the others. */
+class MemoryBudgetsTest {
+    private static final long MIB = 1 << 20;
+
+    /** Guards against budgets that are each in bounds and together exceed the heap. */
+    @Test
+    void allBudgetsTogetherFitEachHeapThatAPoolerIsGiven() {
+        for (long heapMib = 40; heapMib <= 4096; heapMib += 8) {
+            long limitMib = MemoryBudgets.ofHeap(heapMib * MIB).limitBytes() / MIB;
+            assertTrue(limitMib <= heapMib - 16, limitMib + " of " + heapMib + " MiB");
+            assertTrue(limitMib >= (heapMib - 16) / 2 || limitMib >= 100, limitMib + " of " + heapMib + " MiB");
+        }
+    }
+
+    /** Guards against slow readers whose answers leave no room for those of clients that read at once. */
+    @Test
+    void unreadAnswersLeaveRoomForClientsWithoutUnreadAnswers() {
+        AnswerBudget answers = new AnswerBudget(9_000);
+        assertTrue(answers.hasRoom(6_000, true));
+        answers.addUnread(6_000);
+        assertTrue(answers.isNearLimit());
+        assertFalse(answers.hasRoom(1, true));
+        assertTrue(answers.hasRoom(3_000, false));
+        assertFalse(answers.hasRoom(3_001, false));
+        answers.addUnread(-6_000);
+        assertFalse(answers.isNearLimit());
+    }
+
+    @Test
+    void incomingAnswersAreBoundedTogetherWithUnreadOnes() {
+        AnswerBudget answers = new AnswerBudget(9_000);
+        answers.addUnread(5_000);
+        assertTrue(answers.reserveIncoming(4_000));
+        assertFalse(answers.reserveIncoming(1));
+        answers.releaseIncoming(4_000);
+        assertEquals(0, answers.incomingBytes());
+        assertTrue(answers.reserveIncoming(1));
+    }
+
+    @Test
+    void aRefusedReservationTakesNothing() {
+        ByteBudget budget = new ByteBudget(10);
+        assertTrue(budget.reserve(8));
+        assertFalse(budget.reserve(3));
+        assertEquals(8, budget.takenBytes());
+        budget.add(3);
+        assertTrue(budget.isExhausted());
+        budget.add(-11);
+        assertEquals(0, budget.takenBytes());
+    }
+}
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -1,22 +1,17 @@
 package lupinvalve.mysql;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
-import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.security.GeneralSecurityException;
-import java.security.KeyFactory;
-import java.security.spec.X509EncodedKeySpec;
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Base64;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import javax.crypto.Cipher;
 import lupinvalve.core.LogPositionParser;
 import lupinvalve.core.Pooler;
 import lupinvalve.log.Log;
+import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Pool;
@@ -29,51 +24,32 @@
  * nothing, so the request can't have run before its COM_STMT_EXECUTE is written. Core thread only.
  */
 public final class MysqlBackend extends Pool {
-    private static final int MAX_PACKET_BYTES = 4 << 20;
     private static final int MAX_ANSWER_BYTES = 4 << 20;
     private static final int MAX_PREPARED_STATEMENTS = 64;
     private static final int MAX_COLUMNS = 4096;
-    private static final long WANTED_CAPABILITIES = Protocol.LONG_PASSWORD
-            | Protocol.FOUND_ROWS
-            | Protocol.PROTOCOL_41
-            | Protocol.TRANSACTIONS
-            | Protocol.SECURE_CONNECTION
-            | Protocol.PLUGIN_AUTH
-            | Protocol.SESSION_TRACK
-            | Protocol.DEPRECATE_EOF
-            | Protocol.QUERY_ATTRIBUTES;
-    private static final String OAEP = "RSA/ECB/OAEPWithSHA-1AndMGF1Padding";
-    private String user;
-    private String password;
-    private String database;
+    /** Memory of a packet beside its bytes. */
+    private static final int PACKET_BYTES = 32;
+
+    private final RepeatedWarnings warnings = new RepeatedWarnings();
+    private final AnswerBudget answerMemory;
+    private NodeLogin.Account account;
 
     /** A pool with no connections yet; {@code database} may be empty. */
     public MysqlBackend(Dialer dialer, Pooler pooler, Bounds bounds, String user, String password, String database) {
         super(dialer, pooler, bounds);
-        this.user = user;
-        this.password = password;
-        this.database = database;
-        try {
-            // The JVM's first cipher takes 0.1 s to load, for which the core thread must not stall while it serves.
-            Cipher.getInstance(OAEP);
-        } catch (GeneralSecurityException e) {
-            Log.warn(
-                    "cipher %s is missing: logins by caching_sha2_password succeed only on servers that have the password cached",
-                    OAEP);
-        }
+        account = new NodeLogin.Account(user, password, database);
+        answerMemory = pooler.memory().answers();
+        NodeLogin.loadCipher();
     }
 
     /** Changes the account and database of connections opened from now on; existing ones stay open. Core thread. */
     public void account(String newUser, String newPassword, String newDatabase) {
-        user = newUser;
-        password = newPassword;
-        database = newDatabase;
+        account = new NodeLogin.Account(newUser, newPassword, newDatabase);
     }
 
     /** What a connection expects next. */
     private enum State {
-        HANDSHAKE,
-        AUTH_RESULT,
+        LOGIN,
         IDLE,
         PREPARE_RESPONSE,
         PREPARE_DEFINITIONS,
@@ -83,11 +59,8 @@
     }
 
     private static final class MysqlConn extends PooledConnection {
-        private State state = State.HANDSHAKE;
-        private long capabilities;
-        private byte[] nonce = new byte[0];
-        private String authPlugin = Protocol.NATIVE_PASSWORD;
-        private boolean isKeyRequested;
+        private final NodeLogin login;
+        private State state = State.LOGIN;
         /** Ids of the statements prepared on this connection, by text; the least recently used comes first. */
         private final Map<String, Long> preparedIds = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -97,26 +70,25 @@
         private int expectedSequence;
         private int[] columnTypes = new int[0];
         private List<byte[]> answerPackets = new ArrayList<>();
+        /** Bytes of the answer that count towards the memory for answers. */
+        private int bufferedBytes;
         /** The outcome that an ERR packet during the login stands for; null where none has come. */
         private AttemptOutcome errorOutcome;
 
-        MysqlConn(String node) {
+        MysqlConn(String node, NodeLogin.Account account) {
             super(node);
-        }
-
-        boolean hasCapability(int capability) {
-            return (capabilities & capability) != 0;
+            login = new NodeLogin(account);
         }
     }
 
     @Override
     protected Framer framer() {
-        return new MysqlFramer(MAX_PACKET_BYTES);
+        return new MysqlFramer(NodeLogin.MAX_PACKET_BYTES);
     }
 
     @Override
     protected PooledConnection connect(String node) {
-        return new MysqlConn(node);
+        return new MysqlConn(node, account);
     }
 
     @Override
@@ -141,15 +113,18 @@
             }
             mysqlConn.expectedSequence++;
             switch (mysqlConn.state) {
-                case HANDSHAKE -> takeHandshake(mysqlConn, packet);
-                case AUTH_RESULT -> takeAuthResult(mysqlConn, packet);
+                case LOGIN -> takeLogin(mysqlConn, packet);
                 case PREPARE_RESPONSE -> takePrepareResponse(mysqlConn, packet);
                 case PREPARE_DEFINITIONS -> {
                     if (--mysqlConn.definitionsLeft == 0) {
                         executePrepared(mysqlConn);
                     }
                 }
-                case ANSWER, COLUMN_DEFINITIONS, ROWS -> takeAnswer(mysqlConn, packet);
+                case ANSWER, COLUMN_DEFINITIONS, ROWS -> {
+                    if (reserve(mysqlConn, packet)) {
+                        takeAnswer(mysqlConn, packet);
+                    }
+                }
                 default -> protocolError(mysqlConn, "packet without a request");
             }
         } catch (Framer.Malformed e) {
@@ -172,99 +147,21 @@
 
     // ---- login ----
 
-    /** Takes the server's handshake, and answers with the handshake response. */
-    private void takeHandshake(MysqlConn conn, byte[] packet) throws Framer.Malformed {
-        PacketReader in = new PacketReader(packet);
-        int version = in.int1();
-        if (version == 0xFF) {
-            conn.errorOutcome = outcomeOf(packet);
-            closeBroken(conn);
-            return;
-        }
-        in.nulTerminated();
-        in.fixedInt(4);
-        byte[] first = in.raw(8);
-        in.int1();
-        long capabilities = in.fixedInt(2);
-        in.int1();
-        in.fixedInt(2);
-        capabilities |= in.fixedInt(2) << 16;
-        int nonceBytes = in.int1();
-        in.raw(10);
-        byte[] second = in.raw(Math.min(in.remaining(), Math.max(13, nonceBytes - 8)));
-        conn.nonce = Arrays.copyOf(first, 20);
-        System.arraycopy(second, 0, conn.nonce, 8, Math.min(12, second.length));
-        conn.authPlugin = (capabilities & Protocol.PLUGIN_AUTH) != 0 ? in.nulTerminated() : Protocol.NATIVE_PASSWORD;
-        long required = Protocol.PROTOCOL_41 | Protocol.SESSION_TRACK | Protocol.DEPRECATE_EOF;
-        if (version != 10 || (capabilities & required) != required) {
-            throw new Framer.Malformed("server lacks protocol 4.1, SESSION_TRACK or DEPRECATE_EOF");
+    private void takeLogin(MysqlConn conn, byte[] packet) throws Framer.Malformed {
+        NodeLogin.Step step = conn.login.take(packet);
+        if (step.response() != null) {
+            write(conn, step.response(), packet[3] + 1);
         }
-        conn.capabilities = capabilities & (WANTED_CAPABILITIES | (database.isEmpty() ? 0 : Protocol.CONNECT_WITH_DB));
-        byte[] authResponse = Protocol.scramble(conn.authPlugin, password, conn.nonce);
-        PacketWriter out = new PacketWriter()
-                .fixedInt(conn.capabilities, 4)
-                .fixedInt(MAX_PACKET_BYTES, 4)
-                .int1(45)
-                .raw(new byte[23])
-                .nulTerminated(user);
-        out.int1(authResponse == null ? 0 : authResponse.length).raw(authResponse == null ? new byte[0] : authResponse);
-        if (conn.hasCapability(Protocol.CONNECT_WITH_DB)) {
-            out.nulTerminated(database);
-        }
-        conn.state = State.AUTH_RESULT;
-        write(conn, out.nulTerminated(conn.authPlugin), packet[3] + 1);
-    }
-
-    /** Takes the server's answer to the handshake response or to a later packet of the login. */
-    private void takeAuthResult(MysqlConn conn, byte[] packet) throws Framer.Malformed {
-        PacketReader in = new PacketReader(packet);
-        switch (in.int1()) {
-            case 0 -> {
+        switch (step.status()) {
+            case COMPLETE -> {
                 conn.state = State.IDLE;
                 connectionReady(conn);
             }
-            case 0xFE -> {
-                conn.authPlugin = in.nulTerminated();
-                conn.nonce = Arrays.copyOf(in.rest(), 20);
-                byte[] authResponse = Protocol.scramble(conn.authPlugin, password, conn.nonce);
-                if (authResponse == null) {
-                    throw new Framer.Malformed("unsupported authentication plugin " + conn.authPlugin);
-                }
-                write(conn, new PacketWriter().raw(authResponse), packet[3] + 1);
-            }
-            case 1 -> takeAuthMoreData(conn, in, packet[3] + 1);
-            case 0xFF -> {
+            case REJECTED -> {
                 conn.errorOutcome = outcomeOf(packet);
                 closeBroken(conn);
             }
-            default -> throw new Framer.Malformed("unexpected packet during the login");
-        }
-    }
-
-    /** Takes AuthMoreData: a server without the cached password needs it encrypted with its public key. */
-    private void takeAuthMoreData(MysqlConn conn, PacketReader in, int sequence) throws Framer.Malformed {
-        byte[] data = in.rest();
-        if (conn.isKeyRequested) {
-            conn.isKeyRequested = false;
-            write(conn, new PacketWriter().raw(encryptedPassword(data, conn.nonce)), sequence);
-        } else if (data.length == 1 && data[0] == 4) {
-            conn.isKeyRequested = true;
-            write(conn, new PacketWriter().int1(2), sequence);
-        }
-    }
-
-    private byte[] encryptedPassword(byte[] pem, byte[] nonce) throws Framer.Malformed {
-        try {
-            String key = new String(pem, ISO_8859_1).replaceAll("-----[A-Z ]+-----", "");
-            Cipher cipher = Cipher.getInstance(OAEP);
-            cipher.init(
-                    Cipher.ENCRYPT_MODE,
-                    KeyFactory.getInstance("RSA")
-                            .generatePublic(new X509EncodedKeySpec(
-                                    Base64.getMimeDecoder().decode(key))));
-            return cipher.doFinal(Protocol.xor((password + "\0").getBytes(UTF_8), nonce));
-        } catch (GeneralSecurityException | IllegalArgumentException e) {
-            throw new Framer.Malformed("unusable public key: " + e.getMessage());
+            case CONTINUES -> {}
         }
     }
 
@@ -287,7 +184,7 @@
             markSent(mysqlConn);
             mysqlConn.state = State.ANSWER;
             PacketWriter out = new PacketWriter().int1(Protocol.COM_QUERY);
-            if (mysqlConn.hasCapability(Protocol.QUERY_ATTRIBUTES)) {
+            if (mysqlConn.login.hasCapability(Protocol.QUERY_ATTRIBUTES)) {
                 out.lengthEncodedInt(request.params().size()).lengthEncodedInt(1);
                 if (!request.params().isEmpty()) {
                     Params.write(out, withTimeLeft(mysqlConn, request.params()), true);
@@ -356,7 +253,7 @@
                     .raw(piece.bytes())
                     .packet(0));
         }
-        boolean hasNames = conn.hasCapability(Protocol.QUERY_ATTRIBUTES);
+        boolean hasNames = conn.login.hasCapability(Protocol.QUERY_ATTRIBUTES);
         List<Params.Param> params = hasNames
                 ? withTimeLeft(conn, request.params())
                 : request.params().subList(0, request.valueCount());
@@ -423,6 +320,27 @@
         }
     }
 
+    /** Reserves memory for a packet of an answer; closes the connection if there is none. */
+    private boolean reserve(MysqlConn conn, byte[] packet) {
+        int bytes = packet.length + PACKET_BYTES;
+        if (answerMemory.reserveIncoming(bytes)) {
+            conn.bufferedBytes += bytes;
+            return true;
+        }
+        warnings.warn("the memory for answers is used up: an answer is dropped and its db node's connection closed");
+        conn.errorOutcome = null;
+        closeBroken(conn);
+        return false;
+    }
+
+    @Override
+    protected void released(PooledConnection conn) {
+        MysqlConn mysqlConn = (MysqlConn) conn;
+        answerMemory.releaseIncoming(mysqlConn.bufferedBytes);
+        mysqlConn.bufferedBytes = 0;
+        mysqlConn.answerPackets = new ArrayList<>();
+    }
+
     /** The column type in a column definition packet. */
     private static int columnType(PacketReader in) throws Framer.Malformed {
         for (int name = 0; name < 6; name++) {
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
@@ -10,6 +10,11 @@
     /** Length of the random bytes that the server sends and the client scrambles its password with. */
     static final int NONCE_BYTES = 20;
 
+    /** The error code for a request that has not run. */
+    static final int REQUEST_REJECTED = 1226;
+    /** A client that reads its answers at once has no more than this unread. */
+    private static final long PROMPT_UNREAD_BYTES = 64 << 10;
+
     /** The state of the login. */
     enum Phase {
         /** The handshake has been sent; the client's handshake response is expected. */
@@ -73,6 +78,11 @@
         return hasOpenRequest || !waitingCommands.isEmpty();
     }
 
+    /** Whether the client has answers unread. */
+    boolean hasUnreadAnswers() {
+        return link.pendingWriteBytes() > PROMPT_UNREAD_BYTES;
+    }
+
     /** Whether both sides have a capability. */
     boolean hasCapability(int capability) {
         return (capabilities & capability) != 0;
@@ -88,6 +98,14 @@
         link.write(Protocol.error(1, code, state, text));
     }
 
+    /** Answers a request that has not run; the client may repeat it after this time. */
+    void refused(long retryAfterMicros) {
+        error(
+                REQUEST_REJECTED,
+                "42000",
+                "refused: a repeat does no harm; retry after " + (retryAfterMicros + 999) / 1000 + " ms");
+    }
+
     /** Forwards a db node's answer, adapted to this client's capabilities. */
     void answer(MysqlRequest.Answer answer) {
         // In one write: on a small machine, many small segments cost more CPU time than the bytes themselves.
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -12,6 +12,9 @@
 import lupinvalve.core.InvalidStatementException;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Statement;
+import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.AnswerBudget;
+import lupinvalve.maintenance.Metrics;
 import lupinvalve.net.ClientEndLog;
 import lupinvalve.net.ClientEviction;
 import lupinvalve.net.EndReason;
@@ -40,7 +43,6 @@
     /** How long, during a drain or a shutdown, a partly sent packet or a partly read answer delays the close. */
     private static final long CLOSE_GRACE_MICROS = 300_000;
 
-    private static final int REQUEST_REJECTED = 1226;
     private static final int REQUEST_FAILED = 1105;
     private static final int TOO_MANY_CONNECTIONS = 1040;
     private static final int UNKNOWN_COMMAND = 1047;
@@ -53,6 +55,10 @@
     private final Map<Link, MysqlClient> byLink = new IdentityHashMap<>();
     private final ClientEviction<MysqlClient> clientEviction;
     private final ClientEndLog clientEndLog;
+    /** Memory for the answers that clients have not read. An answer that finds no room is replaced by an error. */
+    private final AnswerBudget answerMemory;
+
+    private final RepeatedWarnings warnings = new RepeatedWarnings();
     /** Bytes of the waiting commands of all clients. */
     private long waitingBytes;
 
@@ -69,6 +75,7 @@
         clientEviction = new ClientEviction<>(
                 pooler.loop(), clients, maxClients, pooler.settings().limits().maxOpenRequests(), this::retire);
         clientEndLog = new ClientEndLog(pooler.loop());
+        answerMemory = pooler.memory().answers();
     }
 
     /** Changes the account; clients that are logged in stay connected. */
@@ -289,6 +296,11 @@
             if (pooler.hasOpenRequest(clientRequest.id())) {
                 throw new InvalidStatementException("field id names an open request");
             }
+            if (answerMemory.isNearLimit() && client.hasUnreadAnswers()) {
+                warnings.warn("requests are refused as their clients have not read earlier answers");
+                refuse(client, clientRequest);
+                return;
+            }
             client.hasOpenRequest = true;
             client.requestHandle = -1;
             long handle = pooler.submit(this, client.handle, clientRequest);
@@ -300,6 +312,12 @@
         }
     }
 
+    /** Refuses a request that has not been submitted. */
+    private void refuse(MysqlClient client, ClientRequest request) {
+        pooler.metrics().requestEnded(request.classIndex(), Metrics.Result.REJECTED);
+        client.refused(pooler.settings().limits().maxRetryAfterMicros());
+    }
+
     // ---- answers ----
 
     @Override
@@ -308,7 +326,13 @@
         if (client == null) {
             return;
         }
-        client.answer((MysqlRequest.Answer) answer);
+        MysqlRequest.Answer whole = (MysqlRequest.Answer) answer;
+        if (answerMemory.hasRoom(whole.size(), client.hasUnreadAnswers())) {
+            client.answer(whole);
+        } else {
+            warnings.warn("answers are replaced by errors as clients have not read earlier ones");
+            client.error(REQUEST_FAILED, "HY000", "failed: it may have run");
+        }
         requestAnswered(client);
     }
 
@@ -316,10 +340,7 @@
     public void rejected(long ticket, long retryAfterMicros) {
         MysqlClient client = clients.get(ticket);
         if (client != null) {
-            client.error(
-                    REQUEST_REJECTED,
-                    "42000",
-                    "refused: a repeat does no harm; retry after " + (retryAfterMicros + 999) / 1000 + " ms");
+            client.refused(retryAfterMicros);
             requestAnswered(client);
         }
     }
@@ -359,7 +380,8 @@
                 MysqlClient.Command command = client.waitingCommands.poll();
                 waitingBytes -= command.size();
                 if (command.isRejected()) {
-                    client.error(REQUEST_REJECTED, "42000", "too many commands at once: a repeat does no harm");
+                    client.error(
+                            MysqlClient.REQUEST_REJECTED, "42000", "too many commands at once: a repeat does no harm");
                 } else {
                     takeCommand(client, command.packet(), command.atMicros());
                 }
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
@@ -30,6 +30,11 @@
      * @param columnCount number of column definitions in {@code packets}
      */
     record Answer(List<byte[]> packets, int columnCount, Protocol.Ok ok) {
+        /** Bytes of the rows and column definitions. */
+        long size() {
+            return packets.stream().mapToLong(packet -> packet.length).sum();
+        }
+
         /**
          * The whole answer for a client with the given capabilities, with sequence numbers from 1 on.
          *
--- a/net/src/main/java/lupinvalve/net/EndReason.java
+++ b/net/src/main/java/lupinvalve/net/EndReason.java
@@ -22,6 +22,8 @@
     CUT("a long answer broke off"),
     /** The client did not read its answers. */
     READS_TOO_SLOWLY("it does not read"),
+    /** The client sent many more commands ahead than are served, while memory for commands was exhausted. */
+    SENDS_TOO_FAR_AHEAD("it sends too far ahead"),
     /** The program failed while it handled the connection. */
     FAULT("a fault of the program"),
     /** The client closed the connection. */
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -65,6 +65,8 @@
      * A peer that leaves more than this unread has its connection reset; frontends hold back answers long before that.
      */
     private static final long PENDING_WRITE_MAX_BYTES = 16 << 20;
+    /** The same bound while the memory for all connections' pending writes is exhausted. */
+    private static final long PENDING_WRITE_SHORTAGE_BYTES = 64 << 10;
     /**
      * Parts from this size on are handed to MINA as they are; smaller ones are copied into one buffer with their
      * neighbours.
@@ -73,6 +75,8 @@
 
     /** Input of one connection that may wait in the core's queue; reading pauses above it. */
     private static final int QUEUED_MAX_BYTES = 256 << 10;
+    /** A connection always gets a buffer of this size, whatever others have sent, and keeps it while it is open. */
+    private static final int SMALL_INPUT_BUFFER_BYTES = 4096;
     /** {@link #finish} resets a connection whose peer reads none of what is left to flush in this time. */
     private static final long FLUSH_STALL_MICROS = 1_000_000;
     /** {@link #finish} resets a connection whose peer has not read all that was left to flush in this time. */
@@ -88,7 +92,7 @@
     private static final RepeatedWarnings WARNINGS = new RepeatedWarnings();
 
     private final EventLoop loop;
-    private final ByteBudget inputBudget;
+    private final LinkBudgets budgets;
     private final boolean urgent;
     private final Framer framer;
     private final Events events;
@@ -148,18 +152,18 @@
     private volatile boolean readingPausedForBacklog;
 
     Link(EventLoop loop, Framer framer, Events events) {
-        this(loop, framer, events, new ByteBudget(Long.MAX_VALUE), false);
+        this(loop, framer, events, LinkBudgets.unlimited(), false);
     }
 
     /** @param urgent whether events of this connection go before everything else that waits for the core */
-    Link(EventLoop loop, Framer framer, Events events, ByteBudget inputBudget, boolean urgent) {
-        this.inputBudget = inputBudget;
+    Link(EventLoop loop, Framer framer, Events events, LinkBudgets budgets, boolean urgent) {
+        this.budgets = budgets;
         this.urgent = urgent;
         this.loop = loop;
         this.framer = framer;
         this.events = events;
         createdAt = loop.now();
-        outbound = new Outbound(loop, () -> abort(EndReason.READS_TOO_SLOWLY));
+        outbound = new Outbound(loop, budgets.output(), () -> abort(EndReason.READS_TOO_SLOWLY));
     }
 
     // ---- MINA's threads ----
@@ -202,6 +206,20 @@
         return emptied;
     }
 
+    /**
+     * Whether a read must wait as too much input of all connections waits for the core; reading then goes on once the
+     * core has processed what waits now. Processor's thread.
+     */
+    boolean defersRead(IoSession from) {
+        // The endpoint list must not wait behind clients.
+        if (urgent || !budgets.unprocessedInput().isExhausted()) {
+            return false;
+        }
+        from.suspendRead();
+        loop.post(this::resumeReading);
+        return true;
+    }
+
     /** Reads from the socket, unless the core has decided to close the connection; processor's thread. */
     int read(Read read) throws Exception {
         synchronized (readLock) {
@@ -296,7 +314,7 @@
             int remainder = framer.cut(inputBuffer, 0, inputLength, messages);
             System.arraycopy(inputBuffer, remainder, inputBuffer, 0, inputLength - remainder);
             inputLength -= remainder;
-            if (inputLength == 0 && inputBuffer.length > 4096) {
+            if (inputLength == 0 && inputBuffer.length > SMALL_INPUT_BUFFER_BYTES) {
                 // Guards against many idle connections that each keep a buffer of the size of their largest message.
                 releaseInputBuffer();
             }
@@ -309,6 +327,7 @@
         long earliestArrival = readProgress == null ? Long.MIN_VALUE : receivedAtMicros - readProgress.ageMicros();
         String violation = malformedReason;
         boolean endsMidMessage = violation != null || inputLength > 0;
+        budgets.unprocessedInput().add(count);
         if (queuedBytes.addAndGet(count) > QUEUED_MAX_BYTES) {
             // Guards the core's queue against a peer that sends faster than its messages are processed.
             from.suspendRead();
@@ -318,6 +337,7 @@
         }
         post(() -> {
             queuedBytes.addAndGet(-count);
+            budgets.unprocessedInput().add(-count);
             resumeReading();
             bytesProcessed += count;
             if (retiring) {
@@ -366,21 +386,28 @@
     }
 
     private void growInputBuffer(int size) throws Framer.Malformed {
-        if (!inputBudget.reserve(size - inputBuffer.length)) {
+        int more = size - inputBuffer.length;
+        if (size <= SMALL_INPUT_BUFFER_BYTES) {
+            budgets.partialMessages().add(more);
+        } else if (!budgets.partialMessages().reserve(more)) {
             throw new Framer.Malformed("no room for so many long messages at once");
         }
         inputBuffer = Arrays.copyOf(inputBuffer, size);
     }
 
     private void releaseInputBuffer() {
-        inputBudget.reserve(-inputBuffer.length);
+        budgets.partialMessages().add(-inputBuffer.length);
         inputBuffer = new byte[0];
         inputLength = 0;
     }
 
-    /** A write request has been handed to the socket completely; MINA's thread, and the core thread for a recheck. */
+    /** A write request has been handed to the socket completely; MINA's thread. */
     void onSent(IoSession to) {
         outbound.onSent(to);
+        resumeReadingIfDrained(to);
+    }
+
+    private void resumeReadingIfDrained(IoSession to) {
         if (readingPausedForBacklog && to.getScheduledWriteBytes() <= Outbound.FULL_BYTES / 2) {
             readingPausedForBacklog = false;
             loop.post(this::resumeReading);
@@ -416,6 +443,7 @@
     void onClosed() {
         disconnected = true;
         releaseInputBuffer();
+        outbound.onClosed();
         inputIgnored = true;
         post(this::end);
     }
@@ -469,21 +497,17 @@
         if (closed || session == null) {
             return;
         }
-        int size = 0;
-        for (byte[] part : parts) {
-            size += part.length;
-        }
-        if (outbound.pendingBytes() > PENDING_WRITE_MAX_BYTES) {
+        if (hasTooMuchPending()) {
             abort(EndReason.READS_TOO_SLOWLY);
             return;
         }
-        outbound.onSubmit(size);
         // Small parts are joined, as each write is a system call.
         int from = 0;
         for (int i = 0; i <= parts.length; i++) {
             if (i == parts.length || parts[i].length >= JOIN_BELOW_BYTES) {
                 writeJoined(parts, from, i);
                 if (i < parts.length) {
+                    outbound.onSubmit(parts[i].length);
                     session.write(IoBuffer.wrap(parts[i]));
                 }
                 from = i + 1;
@@ -494,10 +518,17 @@
             readingPausedForBacklog = true;
             session.suspendRead();
             outbound.watch();
-            onSent(session);
+            resumeReadingIfDrained(session);
         }
     }
 
+    private boolean hasTooMuchPending() {
+        long pendingBytes = outbound.pendingBytes();
+        return pendingBytes > PENDING_WRITE_MAX_BYTES
+                || pendingBytes > PENDING_WRITE_SHORTAGE_BYTES
+                        && budgets.output().isExhausted();
+    }
+
     /**
      * Pauses or resumes reading. While it is paused, what the peer sends fills the socket's buffers and then waits on
      * the peer's machine. Core thread.
@@ -544,6 +575,7 @@
             for (int i = from; i < to; i++) {
                 buffer.put(parts[i]);
             }
+            outbound.onSubmit(size);
             session.write(buffer.flip());
         }
     }
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -24,6 +24,7 @@
 import lupinvalve.core.EventLoop;
 import lupinvalve.log.Log;
 import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.MemoryBudgets;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.filterchain.IoFilter;
 import org.apache.mina.core.future.ConnectFuture;
@@ -40,6 +41,12 @@
 
 /** Sockets over MINA: one processor thread for all connections, one acceptor per listener, and one connector. */
 public final class Net implements Dialer {
+    /** Name of the threads of a network that serves clients. */
+    public static final String CLIENT_THREAD_NAME = "net";
+    /** Name of the threads of any other network. */
+    private static final String CONTROL_THREAD_NAME = "net control";
+
+    private static final long THREAD_STACK_BYTES = 256 << 10;
     private static final AttributeKey LINK = new AttributeKey(Net.class, "link");
     private static final int ACCEPT_BACKLOG = 512;
     private static final int READ_BUFFER_MIN_BYTES = 4096;
@@ -47,8 +54,6 @@
     private static final int BIND_TRIES = 20;
     /** The pause between two of them. */
     private static final long BIND_PAUSE_MILLIS = 50;
-    /** Limit for incomplete messages over all connections: a third of the smallest heap that a pooler is given. */
-    private static final long PARTIAL_MESSAGES_MAX_BYTES = 14 << 20;
 
     private final EventLoop loop;
     private final boolean urgent;
@@ -56,12 +61,9 @@
     private volatile int maxConnections = Integer.MAX_VALUE;
     private final AtomicBoolean closing = new AtomicBoolean();
     private final AtomicInteger accepted = new AtomicInteger();
-    private final ByteBudget inputBudget = new ByteBudget(PARTIAL_MESSAGES_MAX_BYTES);
-    private final ExecutorService threads = Executors.newCachedThreadPool(work -> {
-        Thread thread = new Thread(null, work, "net", 256 << 10);
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final LinkBudgets clientBudgets;
+    private final LinkBudgets dialledBudgets;
+    private final ExecutorService threads;
     /** Tracks how long input may have waited in the socket buffers; null where that is not needed. */
     private final ReadProgress readProgress;
 
@@ -93,6 +95,22 @@
 
     /** @param security of all connections, or null for none */
     public Net(EventLoop loop, boolean urgent, Security security) {
+        this(loop, urgent, security, MemoryBudgets.ofThisProcess(), CONTROL_THREAD_NAME);
+    }
+
+    /** A network without security that serves clients; what its connections keep counts towards the budgets. */
+    public Net(EventLoop loop, MemoryBudgets budgets) {
+        this(loop, false, null, budgets, CLIENT_THREAD_NAME);
+    }
+
+    private Net(EventLoop loop, boolean urgent, Security security, MemoryBudgets budgets, String threadName) {
+        threads = Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(null, work, threadName, THREAD_STACK_BYTES);
+            thread.setDaemon(true);
+            return thread;
+        });
+        clientBudgets = LinkBudgets.ofClient(budgets);
+        dialledBudgets = LinkBudgets.ofDialled(budgets);
         this.loop = loop;
         this.urgent = urgent;
         this.security = security;
@@ -147,7 +165,10 @@
         @Override
         protected int read(NioSession session, IoBuffer in) throws Exception {
             Link link = (Link) session.getAttribute(LINK);
-            return link == null ? super.read(session, in) : link.read(() -> super.read(session, in));
+            if (link == null) {
+                return super.read(session, in);
+            }
+            return link.defersRead(session) ? 0 : link.read(() -> super.read(session, in));
         }
 
         @Override
@@ -338,7 +359,7 @@
     public Listener listen(
             InetSocketAddress address, boolean shared, java.util.function.Supplier<Framer> framers, Link.Events events)
             throws IOException {
-        return listen(address, shared, session -> new Link(loop, framers.get(), events, inputBudget, urgent));
+        return listen(address, shared, session -> new Link(loop, framers.get(), events, clientBudgets, urgent));
     }
 
     /**
@@ -476,7 +497,7 @@
 
     @Override
     public Link dial(InetSocketAddress address, Framer framer, Link.Events events) {
-        Link link = new Link(loop, framer, events, inputBudget, urgent);
+        Link link = new Link(loop, framer, events, dialledBudgets, urgent);
         link.fence(fence);
         link.setReadProgress(readProgress);
         if (address.isUnresolved() || connector.isDisposing()) {
@@ -579,7 +600,12 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            link(session).onReceived(session, (IoBuffer) message);
+            try {
+                link(session).onReceived(session, (IoBuffer) message);
+            } catch (Error e) {
+                // MINA would pass it on and end the thread of all connections.
+                exceptionCaught(session, e);
+            }
         }
 
         @Override
--- a/net/src/main/java/lupinvalve/net/Outbound.java
+++ b/net/src/main/java/lupinvalve/net/Outbound.java
@@ -6,7 +6,7 @@
 /**
  * Tracks what has been written on one connection and not been handed to the socket yet, since the peer does not read.
  * Notifies when enough of it has drained, and finds peers that read nothing, whose pending bytes would be kept for
- * good. Core thread only, except {@link #onSent}.
+ * good. Core thread only, except {@link #onSent} and {@link #onClosed}.
  */
 final class Outbound {
     /** With more pending bytes than this, nothing more is read from the peer, and answers wait. */
@@ -17,6 +17,7 @@
     private static final long CHECK_MICROS = 3_000_000;
 
     private final EventLoop loop;
+    private final PendingOutputCharge charge;
     private final Runnable onStalled;
     private IoSession session;
     /** Runs on the core thread once no more than {@code drainThresholdBytes} are pending; null if nothing waits. */
@@ -35,9 +36,13 @@
     /** Whether a check of the peer's progress is scheduled. */
     private boolean isWatched;
 
-    /** @param onStalled ends the connection of a peer that reads nothing */
-    Outbound(EventLoop loop, Runnable onStalled) {
+    /**
+     * @param meter counts the memory of what is pending
+     * @param onStalled ends the connection of a peer that reads nothing
+     */
+    Outbound(EventLoop loop, OutputMeter meter, Runnable onStalled) {
         this.loop = loop;
+        charge = new PendingOutputCharge(meter);
         this.onStalled = onStalled;
     }
 
@@ -45,10 +50,11 @@
         session = opened;
     }
 
-    /** Counts bytes that are about to be written. */
+    /** Counts a write request that is about to be submitted. */
     void onSubmit(int bytes) {
         bytesSubmitted += bytes;
         lastSubmittedAtMicros = loop.now();
+        charge.submit(bytes);
     }
 
     /** Bytes submitted to the connection so far. */
@@ -76,13 +82,23 @@
         onDrained = then;
         if (session != null) {
             // The bytes may have drained between the caller's check and this call.
-            onSent(session);
+            notifyIfDrained(session);
             watch();
         }
     }
 
-    /** A write request has been handed to the socket completely; MINA's thread, or the core thread for a recheck. */
+    /** A write request has been handed to the socket completely; MINA's thread. */
     void onSent(IoSession to) {
+        charge.onSent(to.getWrittenBytes());
+        notifyIfDrained(to);
+    }
+
+    /** The connection has ended, or could not be established; MINA's threads, or the core thread. */
+    void onClosed() {
+        charge.end();
+    }
+
+    private void notifyIfDrained(IoSession to) {
         Runnable then = onDrained;
         if (then != null && to.getScheduledWriteBytes() <= drainThresholdBytes) {
             onDrained = null;
@@ -102,6 +118,7 @@
     private void sample() {
         long now = loop.now();
         long written = session == null ? 0 : session.getWrittenBytes();
+        charge.settle(written);
         if (written != bytesTaken) {
             bytesTaken = written;
             bytesTakenAtMicros = now;
--- a/pg/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/pg/src/main/java/lupinvalve/pg/PgBackend.java
@@ -7,7 +7,8 @@
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Statement;
 import lupinvalve.log.Log;
-import lupinvalve.maintenance.ResourceBudgets;
+import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Pool;
@@ -26,9 +27,9 @@
     private static final int MAX_ANSWER_BYTES = MAX_ROW_BYTES + (32 << 10);
 
     private static final byte[] HEALTH_CHECK_QUERY = PgMessages.textMessage('Q', "SHOW vitals");
+    private final RepeatedWarnings warnings = new RepeatedWarnings();
     private final byte[] startupMessage;
-    /** Bytes of long rows that are buffered whole, over all connections. */
-    private long bufferedBytes;
+    private final AnswerBudget answerMemory;
 
     /**
      * A pool with no connections yet.
@@ -39,6 +40,7 @@
     public PgBackend(Dialer dialer, Pooler pooler, Bounds bounds, String user, String database) {
         super(dialer, pooler, bounds);
         startupMessage = PgMessages.startup(user, database);
+        answerMemory = pooler.memory().answers();
     }
 
     /** The last message of the answer that has arrived; NONE before the first. */
@@ -62,7 +64,7 @@
         private int rowBytesLeft;
         /** Whether the chunks of a long row are streamed to the client as they arrive. */
         private boolean isStreaming;
-        /** Bytes of a long row that count towards the pool's total, as it is buffered whole. */
+        /** Bytes of the answer that count towards the memory for answers, as they are buffered. */
         private int bufferedBytes;
 
         private long position = LogPosition.UNKNOWN;
@@ -149,36 +151,54 @@
         conn.state = AnswerState.DATA_ROW;
         conn.row = message;
         conn.rowBytesLeft = length - message.length;
-        conn.answerMessages.add(message);
+        if (!buffer(conn, message)) {
+            return false;
+        }
         switch (pooler.answerStarted(
                 conn.job().attempt, conn.answerMessages.toArray(new byte[0][]), wait -> pauseReading(conn, wait))) {
             case PASS_ON -> {
                 conn.isStreaming = true;
-                conn.answerMessages.clear();
+                releaseBuffered(conn);
             }
             case DROP -> {
                 return false;
             }
             default -> {
-                if (!ResourceBudgets.canBuffer(bufferedBytes, length)) {
-                    Log.warn(
-                            "the memory for buffered answers is used up: an answer of %d bytes is dropped and its db node's connection closed",
-                            length);
-                    return false;
-                }
-                conn.bufferedBytes = length;
-                bufferedBytes += length;
+                return reserve(conn, conn.rowBytesLeft);
             }
         }
         return true;
     }
 
+    /** Adds a message to the answer that is being buffered; false if there is no memory for it. */
+    private boolean buffer(PgConn conn, byte[] message) {
+        if (!reserve(conn, message.length)) {
+            return false;
+        }
+        conn.answerMessages.add(message);
+        return true;
+    }
+
+    private boolean reserve(PgConn conn, int bytes) {
+        if (!answerMemory.reserveIncoming(bytes)) {
+            warnings.warn(
+                    "the memory for answers is used up: an answer is dropped and its db node's connection closed");
+            return false;
+        }
+        conn.bufferedBytes += bytes;
+        return true;
+    }
+
+    private void releaseBuffered(PgConn conn) {
+        answerMemory.releaseIncoming(conn.bufferedBytes);
+        conn.bufferedBytes = 0;
+        conn.answerMessages = new ArrayList<>(3);
+    }
+
     @Override
     protected void released(PooledConnection conn) {
         PgConn pgConn = (PgConn) conn;
-        bufferedBytes -= pgConn.bufferedBytes;
-        pgConn.bufferedBytes = 0;
-        pgConn.answerMessages = new ArrayList<>(3);
+        releaseBuffered(pgConn);
         pgConn.row = null;
     }
 
@@ -234,10 +254,9 @@
         conn.state = next;
         switch (message[0]) {
             case 'S' -> takeParameterStatus(conn, message);
-            case 'T', 'C' -> conn.answerMessages.add(message);
-            case 'D' -> {
-                conn.answerMessages.add(message);
-                conn.row = message;
+            case 'T', 'C', 'D' -> {
+                conn.row = message[0] == 'D' ? message : conn.row;
+                return buffer(conn, message);
             }
             case 'E' -> conn.errorOutcome = outcomeOf(message);
             case 'Z' -> takeReadyForQuery(conn);
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -14,7 +14,9 @@
 import lupinvalve.core.InvalidStatementException;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Statement;
-import lupinvalve.log.Log;
+import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.AnswerBudget;
+import lupinvalve.maintenance.ByteBudget;
 import lupinvalve.maintenance.Metrics;
 import lupinvalve.maintenance.ResourceBudgets;
 import lupinvalve.net.ClientEndLog;
@@ -35,17 +37,16 @@
     private static final int MAX_MESSAGE_BYTES = 1 << 20;
     /** Answers that one client may have pending. */
     private static final int MAX_PIPELINED_REQUESTS = 64;
-    /** Bound on the statements of all clients that are not answered yet. */
-    private static final long MAX_PENDING_STATEMENT_BYTES = 8 << 20;
-    /**
-     * Bound on the long answers of all clients that wait until the answers before them have been read. An answer beyond
-     * it is replaced by an error.
-     */
-    private static final long MAX_UNSENT_BYTES = 16 << 20;
+    /** With this many answers pending, commands without a db node's answer among them, reading pauses. */
+    private static final int PAUSE_READING_REPLIES = 1024;
+    /** Memory of a pending answer beside its messages. */
+    private static final int REPLY_BYTES = 256;
     /** A client that is slow to read gets its next answer once no more than this is unread. */
     private static final long RESUME_UNREAD_BYTES = 256 << 10;
-    /** From this size on an answer counts towards {@link #MAX_UNSENT_BYTES}. */
-    private static final int LONG_ANSWER_BYTES = 64 << 10;
+    /** A client that reads its answers at once has no more than this unread. */
+    private static final long PROMPT_UNREAD_BYTES = 64 << 10;
+    /** An answer up to this size is kept in any case: an error in its place would save nothing. */
+    private static final int SHORT_ANSWER_BYTES = 256;
     /** An aborted row is padded in pieces of this size. */
     private static final int PADDING_BYTES = 16 << 10;
     /**
@@ -71,10 +72,12 @@
 
     private final SecureRandom random = new SecureRandom();
     private final ClientEndLog clientEndLog;
-    /** Bytes of statements that are not answered yet. */
-    private long pendingStatementBytes;
-    /** Bytes of long answers that wait for the answers before them. */
-    private long unsentBytes;
+    /** Memory for the clients' statements that are not answered yet. */
+    private final ByteBudget commandMemory;
+    /** Memory for the answers that clients have not read. An answer that finds no room is replaced by an error. */
+    private final AnswerBudget answerMemory;
+
+    private final RepeatedWarnings warnings = new RepeatedWarnings();
     /** Answers that are being streamed. */
     private int streamCount;
 
@@ -98,11 +101,18 @@
 
         /** Answers that have not been written yet, in the order of their commands. */
         final ArrayDeque<Reply> pendingReplies = new ArrayDeque<>();
+        /** Bytes of pending answers that wait for those before them. */
+        long waitingBytes;
 
         Client(Link link, long openedAt) {
             this.link = link;
             this.openedAt = openedAt;
         }
+
+        /** Whether answers for this client are kept, as it has not read those before them. */
+        boolean hasUnreadAnswers() {
+            return waitingBytes > 0 || link.pendingWriteBytes() > PROMPT_UNREAD_BYTES;
+        }
     }
 
     /** A pending answer on a connection, which is written once all answers before it have been. */
@@ -126,8 +136,8 @@
         boolean isPartlyWritten;
         /** Whether a streamed answer was aborted and its row is being padded. */
         boolean isPadding;
-        /** Bytes of the answer that count towards the total of unsent long answers. */
-        long unsentBytes;
+        /** Bytes of the answer that are kept as it waits for the answers before it. */
+        long waitingBytes;
 
         Reply(Client client) {
             this.client = client;
@@ -146,6 +156,8 @@
                 pooler.loop(), clients, maxClients, pooler.settings().limits().maxOpenRequests(), this::retire);
         replies = new HandleTable<>(maxClients * 8);
         clientEndLog = new ClientEndLog(pooler.loop());
+        commandMemory = pooler.memory().commands();
+        answerMemory = pooler.memory().answers();
     }
 
     /** A framer for one client's connection. */
@@ -228,7 +240,7 @@
         clientEviction.closed(client);
         clients.remove(client.handle);
         for (Reply reply : client.pendingReplies) {
-            unsentBytes -= reply.unsentBytes;
+            removed(reply);
             if (reply.messages == null) {
                 if (replies.remove(reply.ticket) == null) {
                     continue;
@@ -397,15 +409,15 @@
             }
             if (client.pendingReplies.size() >= MAX_PIPELINED_REQUESTS
                     || replies.isFull()
-                    || pendingStatementBytes + statement.size() > MAX_PENDING_STATEMENT_BYTES) {
+                    || mustReadFirst(client)
+                    || !commandMemory.reserve(statement.size())) {
                 pooler.metrics().requestEnded(request.classIndex(), Metrics.Result.REJECTED);
                 answer(client, rejection(pooler.settings().limits().maxRetryAfterMicros()), PgMessages.READY_FOR_QUERY);
                 return;
             }
             Reply reply = new Reply(client);
             reply.statementBytes = statement.size();
-            pendingStatementBytes += reply.statementBytes;
-            client.pendingReplies.add(reply);
+            add(reply);
             reply.ticket = replies.put(reply);
             reply.request = pooler.submit(this, reply.ticket, request);
         } catch (InvalidStatementException e) {
@@ -413,6 +425,15 @@
         }
     }
 
+    /** Whether a client gets no further request served until it has read more of its answers. */
+    private boolean mustReadFirst(Client client) {
+        if (!answerMemory.isNearLimit() || !client.hasUnreadAnswers()) {
+            return false;
+        }
+        warnings.warn("requests are refused as their clients have not read earlier answers");
+        return true;
+    }
+
     private static String firstKeyword(byte[] text) {
         int from = 0;
         while (from < text.length && (text[from] <= ' ' || text[from] == ';')) {
@@ -473,8 +494,7 @@
             byte[][] messages = (byte[][]) first;
             byte[] row = messages[messages.length - 1];
             reply.rowBytesLeft = 1L + PgFramer.int32(row, 1) - row.length;
-            reply.chunks.addAll(Arrays.asList(messages));
-            writeChunks(reply);
+            takeChunks(reply, messages);
         }
     }
 
@@ -483,11 +503,26 @@
         Reply reply = replies.get(ticket);
         if (reply != null && !reply.isPadding) {
             reply.rowBytesLeft -= chunk.length;
-            reply.chunks.add(chunk);
-            writeChunks(reply);
+            takeChunks(reply, chunk);
         }
     }
 
+    /** Takes chunks of a streamed answer, which is aborted if it must wait and there is no room for it. */
+    private void takeChunks(Reply reply, byte[]... chunks) {
+        Client client = reply.client;
+        long size = size(chunks);
+        boolean mustWait = client.pendingReplies.peek() != reply;
+        if (mustWait && !hasRoom(client, size)) {
+            // The rest of it is read and dropped.
+            reply.source.pauseReading(false);
+            abortStream(reply, failure());
+            return;
+        }
+        reply.chunks.addAll(Arrays.asList(chunks));
+        addWaiting(reply, size);
+        writeChunks(reply);
+    }
+
     @Override
     public void answerAborted(long ticket) {
         Reply reply = replies.get(ticket);
@@ -503,6 +538,7 @@
      */
     private void abortStream(Reply reply, byte[] error) {
         reply.chunks.clear();
+        addWaiting(reply, -reply.waitingBytes);
         reply.source = null;
         streamCount--;
         reply.isPadding = true;
@@ -542,6 +578,7 @@
         }
         byte[][] chunks = reply.chunks.toArray(new byte[0][]);
         reply.chunks.clear();
+        addWaiting(reply, -reply.waitingBytes);
         reply.isPartlyWritten |= chunks.length > 0;
         client.link.write(chunks);
         long bufferBytes = ResourceBudgets.streamBufferBytes(streamCount);
@@ -556,39 +593,73 @@
         }
     }
 
-    /** Subtracts from the totals what a reply counted, once it is answered or dropped. */
+    /** Subtracts from the totals what a request counted, once it is answered or dropped. */
     private void release(Reply reply) {
-        pendingStatementBytes -= reply.statementBytes;
+        commandMemory.add(-reply.statementBytes);
         streamCount -= reply.source != null ? 1 : 0;
     }
 
+    /** Adds a pending answer behind the others of its client. */
+    private void add(Reply reply) {
+        commandMemory.add(REPLY_BYTES);
+        reply.client.pendingReplies.add(reply);
+    }
+
+    /** Subtracts what a pending answer counted, once it is being written or dropped. */
+    private void removed(Reply reply) {
+        commandMemory.add(-REPLY_BYTES);
+        addWaiting(reply, -reply.waitingBytes);
+    }
+
+    /** Counts bytes of an answer that wait for the answers before it; releases them if the number is negative. */
+    private void addWaiting(Reply reply, long bytes) {
+        reply.waitingBytes += bytes;
+        reply.client.waitingBytes += bytes;
+        answerMemory.addUnread(bytes);
+    }
+
+    private static long size(byte[][] parts) {
+        return Arrays.stream(parts).mapToLong(part -> part.length).sum();
+    }
+
+    /** Whether there is room for an answer of this size until its client has read it. */
+    private boolean hasRoom(Client client, long size) {
+        boolean hasRoom = answerMemory.hasRoom(size, client.hasUnreadAnswers());
+        if (!hasRoom) {
+            warnings.warn("answers are replaced by errors as clients have not read earlier ones");
+        }
+        return hasRoom;
+    }
+
     /** Ends a request's answer with the given messages and ReadyForQuery, and writes it if it is next in order. */
     private void complete(long ticket, byte[]... messages) {
         Reply reply = replies.remove(ticket);
         if (reply != null) {
             release(reply);
-            long size = Arrays.stream(messages).mapToLong(part -> part.length).sum();
-            reply.unsentBytes = size >= LONG_ANSWER_BYTES ? size : 0;
-            byte[][] sent = messages;
-            if (reply.unsentBytes > 0 && unsentBytes + size > MAX_UNSENT_BYTES) {
-                Log.warn(
-                        "an answer of %d bytes is replaced by an error: answers that clients have not read yet hold %d of %d bytes",
-                        size, unsentBytes, MAX_UNSENT_BYTES);
-                reply.unsentBytes = 0;
-                sent = new byte[][] {failure()};
-            }
-            unsentBytes += reply.unsentBytes;
+            long size = size(messages);
+            boolean isKept = size <= SHORT_ANSWER_BYTES || hasRoom(reply.client, size);
+            byte[][] sent = isKept ? messages : new byte[][] {failure()};
             reply.messages = Arrays.copyOf(sent, sent.length + 1);
             reply.messages[sent.length] = PgMessages.READY_FOR_QUERY;
+            addWaiting(reply, size(sent));
             flush(reply.client);
         }
     }
 
     /** Answers a command that needs no db node, after all answers before it. */
     private void answer(Client client, byte[]... messages) {
+        if (commandMemory.isExhausted() && client.pendingReplies.size() > MAX_PIPELINED_REQUESTS) {
+            forget(client, EndReason.SENDS_TOO_FAR_AHEAD);
+            client.link.abort(EndReason.SENDS_TOO_FAR_AHEAD);
+            return;
+        }
         Reply reply = new Reply(client);
         reply.messages = messages;
-        client.pendingReplies.add(reply);
+        addWaiting(reply, size(messages));
+        add(reply);
+        if (client.pendingReplies.size() > PAUSE_READING_REPLIES) {
+            client.link.pauseReading(true);
+        }
         flush(client);
     }
 
@@ -603,12 +674,15 @@
                 return;
             }
             Reply reply = client.pendingReplies.poll();
-            unsentBytes -= reply.unsentBytes;
+            removed(reply);
             if (!reply.chunks.isEmpty()) {
                 client.link.write(reply.chunks.toArray(new byte[0][]));
             }
             client.link.write(reply.messages);
         }
+        if (client.pendingReplies.size() <= PAUSE_READING_REPLIES / 2) {
+            client.link.pauseReading(false);
+        }
         if (!client.pendingReplies.isEmpty() && client.pendingReplies.peek().source != null) {
             writeChunks(client.pendingReplies.peek());
         }
