End the process once a thread that its drain needs has ended with an error

Cause: MINA hands an Error in a connection's handler on after reporting it, which ended the thread of all sockets. The handler of such ends then drained without a time limit, and a drain needs that thread to close connections. The same holds for the core's thread.

The end of the core's thread or of a clients' I/O thread ends the process at once with 70; the end of any other thread drains for 4 s at most. An Error in the handler itself ends the process too.

--- a/daemon/src/main/java/lupinvalve/cli/Serve.java
+++ b/daemon/src/main/java/lupinvalve/cli/Serve.java
@@ -12,23 +12,16 @@
 public class Serve extends ConfigFileOptions implements Main.Command {
     @Option(name = "--debug", usage = "log each attempt")
     private boolean debug;
-    /** Exit code after a thread has ended with an error: EX_SOFTWARE, an internal error, in sysexits.h. */
-    private static final int EXIT_INTERNAL_ERROR = 70;
 
     private volatile int exitCode;
 
-    /**
-     * A thread that has ended with an error no longer serves its clients: the process drains its open requests and
-     * exits, so that its supervisor starts another.
-     */
     private void exitOnThreadFailure() {
-        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
-            Log.failure("thread " + thread.getName() + " ended with an error; the process drains and exits", failure);
-            exitCode = EXIT_INTERNAL_ERROR;
-            // On a thread of its own: System.exit waits for the drain, which may need a lock that the failing thread
-            // holds.
-            new Thread(() -> System.exit(EXIT_INTERNAL_ERROR), "exit").start();
-        });
+        Thread.setDefaultUncaughtExceptionHandler(new ThreadFailureHandler(
+                code -> {
+                    exitCode = code;
+                    System.exit(code);
+                },
+                Runtime.getRuntime()::halt));
     }
 
     /** Creates the daemon; a fault-injection launcher overrides this to open its control plane in another way. */
