Keep MySQL commands without an answer in step, and bound what is sent ahead

Cause: commands beyond the 64 that may wait were each answered with an error, also COM_STMT_SEND_LONG_DATA, COM_STMT_CLOSE and COM_QUIT, which have no answer. What was dropped left no trace either: a later execution would have run without its value, and a repeat after a rejected execution with the value twice. Nothing bounded prepared statements and their values over all clients: 256 MiB for one client.

Change: RejectedCommands keeps for a run of commands beyond the limit how many answers are due, and what was dropped of each statement. An execution whose value was dropped, whatever the bound, is refused and never sent; a rejected execution takes its values with it; a close and a goodbye take effect. Prepared statements, their types and values count towards one budget, waiting commands and open requests towards another, over all clients. The values of the last execution are not kept any more, only their types. An execution with too few parameters discards its values, as MySQL does.

The stand-in MySQL servers now hold their answers where a test says so, as the others do.

--- a/daemon/src/test/java/lupinvalve/integration/World.java
+++ b/daemon/src/test/java/lupinvalve/integration/World.java
@@ -133,7 +133,7 @@
         thread.start();
     }
 
-    static void hold(java.util.concurrent.CountDownLatch latch) throws IOException {
+    public static void hold(java.util.concurrent.CountDownLatch latch) throws IOException {
         try {
             latch.await();
         } catch (InterruptedException e) {
--- a/daemon/src/test/java/lupinvalve/mysql/MysqlPort.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlPort.java
@@ -22,6 +22,7 @@
 import javax.crypto.Cipher;
 import lupinvalve.integration.DbNode;
 import lupinvalve.integration.DbNode.Makes;
+import lupinvalve.integration.World;
 import lupinvalve.net.Framer;
 
 /** MySQL endpoint of a scripted db node: stands in for a MySQL server that tracks session state. */
@@ -238,6 +239,7 @@
 
         private boolean answer(String statement, Map<String, String> fields, boolean binary) throws IOException {
             Makes makes = node.decide(statement, fields);
+            World.hold(node.hold);
             switch (makes) {
                 case SPOILT -> socket.getOutputStream().write(node.strange);
                 case SERVED, MORE -> {
--- a/daemon/src/test/java/lupinvalve/mysql/RawMysqlClient.java
+++ b/daemon/src/test/java/lupinvalve/mysql/RawMysqlClient.java
@@ -59,6 +59,39 @@
         return new PacketWriter().int1(code).raw(text.getBytes(UTF_8)).packet(0);
     }
 
+    /** Encodes COM_STMT_SEND_LONG_DATA for the second placeholder of a statement. */
+    static byte[] longData(long statement, byte[] value) {
+        return new PacketWriter()
+                .int1(Protocol.COM_STMT_SEND_LONG_DATA)
+                .fixedInt(statement, 4)
+                .fixedInt(1, 2)
+                .raw(value)
+                .packet(0);
+    }
+
+    /** Encodes COM_STMT_EXECUTE of a statement with two placeholders, of which the second was sent as long data. */
+    static byte[] execute(long statement, String first) {
+        return new PacketWriter()
+                .int1(Protocol.COM_STMT_EXECUTE)
+                .fixedInt(statement, 4)
+                .int1(0)
+                .fixedInt(1, 4)
+                .int1(0)
+                .int1(1)
+                .fixedInt(Params.STRING, 2)
+                .fixedInt(Params.STRING, 2)
+                .lengthEncoded(first)
+                .packet(0);
+    }
+
+    /** Encodes COM_STMT_CLOSE. */
+    static byte[] close(long statement) {
+        return new PacketWriter()
+                .int1(Protocol.COM_STMT_CLOSE)
+                .fixedInt(statement, 4)
+                .packet(0);
+    }
+
     /** Sends all commands in one write. */
     void send(byte[]... commands) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
@@ -1,6 +1,7 @@
 package lupinvalve.mysql;
 
 import java.util.ArrayDeque;
+import lupinvalve.maintenance.ByteBudget;
 import lupinvalve.net.Link;
 
 /**
@@ -26,31 +27,37 @@
     }
 
     /**
-     * A command that waits until those before it have been answered.
+     * What waits until the commands before it have been answered: a command, or a run of commands beyond the limit.
      *
-     * @param packet null for a command that is to be rejected when its turn comes, as too many wait
+     * @param packet the command; null for a run of rejected ones
+     * @param rejected the run; null for a command
      */
-    record Command(byte[] packet, long atMicros) {
-        private static final Command REJECTED = new Command(null, 0);
+    record Command(byte[] packet, long atMicros, RejectedCommands rejected) {
+        /** Memory of a waiting command beside its bytes. */
+        private static final int OVERHEAD_BYTES = 128;
 
-        /** A command beyond the limit: nothing is kept but that it must be answered. */
-        static Command rejected() {
-            return REJECTED;
+        /** Bytes of memory that a command takes while it waits. */
+        static int memoryBytes(byte[] packet) {
+            return packet.length + OVERHEAD_BYTES;
         }
 
         boolean isRejected() {
-            return packet == null;
+            return rejected != null;
         }
 
-        /** Bytes of memory that the command takes while it waits. */
-        int size() {
-            return packet == null ? 0 : packet.length;
+        int memoryBytes() {
+            return isRejected() ? 0 : memoryBytes(packet);
+        }
+
+        /** Answers that are due to it. */
+        int answersDue() {
+            return isRejected() ? rejected.answersDue() : RejectedCommands.hasAnswer(packet) ? 1 : 0;
         }
     }
 
     final Link link;
     final byte[] nonce = new byte[NONCE_BYTES];
-    final PreparedStatements preparedStatements = new PreparedStatements(this);
+    final PreparedStatements preparedStatements;
     final ArrayDeque<Command> waitingCommands = new ArrayDeque<>();
     /** Handle in the frontend's table of clients; also the ticket under which the client's requests are submitted. */
     long handle;
@@ -59,6 +66,8 @@
     long capabilities;
     /** Whether a request of this client is open at the pooler. */
     boolean hasOpenRequest;
+    /** Bytes that the open request counts towards the memory for commands. */
+    long openRequestBytes;
     /**
      * How the client violated the protocol, so that nothing more can be read from it; null where it has not. The
      * connection ends once all commands before that have been answered.
@@ -69,11 +78,34 @@
     /** The pooler's handle of the open request, or -1. */
     long requestHandle = -1;
 
-    MysqlClient(Link link) {
+    /** @param statementMemory memory for the prepared statements of all clients */
+    MysqlClient(Link link, ByteBudget statementMemory) {
         this.link = link;
+        preparedStatements = new PreparedStatements(this, statementMemory);
+    }
+
+    /** Adds a command to those that wait. */
+    void addWaiting(byte[] packet, long atMicros) {
+        waitingCommands.add(new Command(packet, atMicros, null));
+    }
+
+    /** Adds a command that is rejected when its turn comes; little more is kept of it than that it must be answered. */
+    void addRejected(byte[] packet) {
+        Command last = waitingCommands.peekLast();
+        if (last == null || !last.isRejected()) {
+            last = new Command(null, 0, new RejectedCommands());
+            waitingCommands.add(last);
+        }
+        last.rejected().add(packet);
+    }
+
+    /** Answers that are due to the client. */
+    int answersDue() {
+        int waiting = waitingCommands.stream().mapToInt(Command::answersDue).sum();
+        return waiting + (hasOpenRequest ? 1 : 0);
     }
 
-    /** Whether an answer is pending, so that a further command must wait. */
+    /** Whether commands wait or a request is open, so that a further command must wait. */
     boolean isAnswerPending() {
         return hasOpenRequest || !waitingCommands.isEmpty();
     }
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -14,6 +14,7 @@
 import lupinvalve.core.Statement;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
+import lupinvalve.maintenance.ByteBudget;
 import lupinvalve.maintenance.Metrics;
 import lupinvalve.net.ClientEndLog;
 import lupinvalve.net.ClientEviction;
@@ -34,8 +35,6 @@
     private static final int MAX_PACKET_BYTES = 1 << 20;
     /** Commands of one client that may wait until those before them have been answered. */
     private static final int MAX_WAITING_COMMANDS = 64;
-    /** Bound on the waiting commands of all clients. */
-    private static final long MAX_WAITING_BYTES = 8 << 20;
     /** A client that is slow to read gets its next answer once no more than this is unread. */
     private static final long RESUME_UNREAD_BYTES = 256 << 10;
     /** Pause before another attempt to close a connection that was in use. */
@@ -59,8 +58,8 @@
     private final AnswerBudget answerMemory;
 
     private final RepeatedWarnings warnings = new RepeatedWarnings();
-    /** Bytes of the waiting commands of all clients. */
-    private long waitingBytes;
+    /** Memory for the commands of clients that are not answered yet. */
+    private final ByteBudget commandMemory;
 
     /**
      * A frontend without clients.
@@ -76,6 +75,7 @@
                 pooler.loop(), clients, maxClients, pooler.settings().limits().maxOpenRequests(), this::retire);
         clientEndLog = new ClientEndLog(pooler.loop());
         answerMemory = pooler.memory().answers();
+        commandMemory = pooler.memory().commands();
     }
 
     /** Changes the account; clients that are logged in stay connected. */
@@ -103,7 +103,7 @@
             clientEndLog.ended(EndReason.PAST_BOUND, link, 0);
             return;
         }
-        MysqlClient client = new MysqlClient(link);
+        MysqlClient client = new MysqlClient(link, pooler.memory().preparedStatements());
         client.handle = clients.put(client);
         byLink.put(link, client);
         clientEviction.opened(client);
@@ -123,17 +123,28 @@
 
     /** Removes a client that has disconnected or is being closed, and cancels its request. */
     private void forget(MysqlClient client, EndReason reason) {
-        clientEndLog.ended(reason, client.link, client.waitingCommands.size() + (client.hasOpenRequest ? 1 : 0));
+        clientEndLog.ended(reason, client.link, client.answersDue());
         byLink.remove(client.link);
         clients.remove(client.handle);
         clientEviction.closed(client);
-        client.waitingCommands.forEach(command -> waitingBytes -= command.size());
-        client.waitingCommands.clear();
+        dropWaitingCommands(client);
+        client.preparedStatements.clear();
+        releaseOpenRequest(client);
         if (client.hasOpenRequest) {
             pooler.clientDisconnected(client.requestHandle);
         }
     }
 
+    private void dropWaitingCommands(MysqlClient client) {
+        client.waitingCommands.forEach(command -> commandMemory.add(-command.memoryBytes()));
+        client.waitingCommands.clear();
+    }
+
+    private void releaseOpenRequest(MysqlClient client) {
+        commandMemory.add(-client.openRequestBytes);
+        client.openRequestBytes = 0;
+    }
+
     /** Closes a connection once all that was written to it has been sent. */
     private void end(MysqlClient client, EndReason reason) {
         if (clients.get(client.handle) == client) {
@@ -176,12 +187,13 @@
      *
      * @param unprocessed commands that were read together with it and have not been processed
      */
-    private void rejectRemaining(MysqlClient client, int unprocessed, String why) {
-        for (int count = client.waitingCommands.size() + unprocessed; count > 0; count--) {
+    private void rejectRemaining(MysqlClient client, List<byte[]> unprocessed, String why) {
+        long answersDue = client.answersDue()
+                + unprocessed.stream().filter(RejectedCommands::hasAnswer).count();
+        for (long count = answersDue; count > 0; count--) {
             client.error(MALFORMED_PACKET, "08S01", why);
         }
-        client.waitingCommands.forEach(command -> waitingBytes -= command.size());
-        client.waitingCommands.clear();
+        dropWaitingCommands(client);
         malformed(client.link, why);
     }
 
@@ -195,7 +207,7 @@
             try {
                 takePacket(client, packets.get(i), atMicros);
             } catch (Framer.Malformed e) {
-                rejectRemaining(client, packets.size() - i - 1, e.getMessage());
+                rejectRemaining(client, packets.subList(i + 1, packets.size()), e.getMessage());
             }
         }
     }
@@ -206,11 +218,10 @@
             takeLogin(client, packet);
         } else if (client.isAnswerPending()
                 && (client.waitingCommands.size() >= MAX_WAITING_COMMANDS
-                        || waitingBytes + packet.length > MAX_WAITING_BYTES)) {
-            client.waitingCommands.add(MysqlClient.Command.rejected());
+                        || !commandMemory.reserve(MysqlClient.Command.memoryBytes(packet)))) {
+            client.addRejected(packet);
         } else if (client.isAnswerPending()) {
-            waitingBytes += packet.length;
-            client.waitingCommands.add(new MysqlClient.Command(packet, atMicros));
+            client.addWaiting(packet, atMicros);
         } else {
             takeCommand(client, packet, atMicros);
             markIdle(client);
@@ -301,6 +312,12 @@
                 refuse(client, clientRequest);
                 return;
             }
+            if (!commandMemory.reserve(request.memoryBytes())) {
+                warnings.warn("requests are refused as the memory for commands is used up");
+                refuse(client, clientRequest);
+                return;
+            }
+            client.openRequestBytes = request.memoryBytes();
             client.hasOpenRequest = true;
             client.requestHandle = -1;
             long handle = pooler.submit(this, client.handle, clientRequest);
@@ -364,6 +381,7 @@
     private void requestAnswered(MysqlClient client) {
         client.hasOpenRequest = false;
         client.requestHandle = -1;
+        releaseOpenRequest(client);
         takeWaitingCommands(client);
     }
 
@@ -377,19 +395,33 @@
                     client.link.whenPendingAtMost(RESUME_UNREAD_BYTES, () -> takeWaitingCommands(client));
                     return;
                 }
-                MysqlClient.Command command = client.waitingCommands.poll();
-                waitingBytes -= command.size();
+                MysqlClient.Command command = client.waitingCommands.peek();
                 if (command.isRejected()) {
-                    client.error(
-                            MysqlClient.REQUEST_REJECTED, "42000", "too many commands at once: a repeat does no harm");
+                    answerRejected(client, command.rejected());
                 } else {
+                    client.waitingCommands.poll();
+                    commandMemory.add(-command.memoryBytes());
                     takeCommand(client, command.packet(), command.atMicros());
                 }
             }
             endAfterProtocolError(client);
             markIdle(client);
         } catch (Framer.Malformed e) {
-            rejectRemaining(client, 0, e.getMessage());
+            rejectRemaining(client, List.of(), e.getMessage());
+        }
+    }
+
+    /** Answers the next of the commands that came beyond the limit, or ends their run if all have been answered. */
+    private void answerRejected(MysqlClient client, RejectedCommands rejected) {
+        rejected.applyTo(client.preparedStatements);
+        if (rejected.answersDue() > 0) {
+            rejected.answered();
+            client.error(MysqlClient.REQUEST_REJECTED, "42000", "too many commands at once: a repeat does no harm");
+        } else {
+            client.waitingCommands.poll();
+            if (rejected.endsConnection()) {
+                end(client, EndReason.GOODBYE);
+            }
         }
     }
 
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
@@ -20,6 +20,21 @@
         List<Params.Param> params,
         int valueCount,
         List<LongData> longData) {
+    /** Memory of a parameter or a piece of a value beside its bytes. */
+    private static final int PART_BYTES = 64;
+
+    /** Bytes of memory that the request takes while it is open. */
+    long memoryBytes() {
+        long bytes = text.length;
+        for (Params.Param param : params) {
+            bytes += PART_BYTES + (param.value() == null ? 0 : param.value().length);
+        }
+        for (LongData piece : longData) {
+            bytes += PART_BYTES + piece.bytes().length;
+        }
+        return bytes;
+    }
+
     /** A piece of a value that was sent before the execution; {@code param} is the index of its placeholder. */
     record LongData(int param, byte[] bytes) {}
 
--- a/mysql/src/main/java/lupinvalve/mysql/Params.java
+++ b/mysql/src/main/java/lupinvalve/mysql/Params.java
@@ -22,6 +22,11 @@
      * @param sentAsLongData whether the value was sent by COM_STMT_SEND_LONG_DATA
      */
     record Param(int type, String name, byte[] value, boolean sentAsLongData) {
+        /** The parameter without its value. */
+        Param withoutValue() {
+            return new Param(type, name, null, false);
+        }
+
         /**
          * The value as text where its type is a string or a number; null for any other type and for a missing value.
          */
--- a/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
+++ b/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import lupinvalve.core.Statement;
+import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.ByteBudget;
 import lupinvalve.net.Framer;
 
 /**
@@ -21,33 +23,50 @@
     private static final int TOO_MANY_STATEMENTS = 1461;
     private static final int WRONG_ARGUMENTS = 1210;
     private static final int UNKNOWN_STATEMENT = 1243;
+    /** Memory of a prepared statement beside its text. */
+    private static final int STATEMENT_BYTES = 256;
+    /** Memory of a piece of a value, or of a parameter's type, beside its bytes. */
+    private static final int PART_BYTES = 64;
+
+    private static final RepeatedWarnings WARNINGS = new RepeatedWarnings();
+
     private final MysqlClient client;
+    private final ByteBudget memory;
     private final Map<Long, Prepared> statements = new HashMap<>();
     private long lastId;
 
     private static final class Prepared {
         final byte[] text;
         final int placeholders;
-        /** Parameters of the last execution, whose types apply to an execution without types; null before the first. */
+        /**
+         * Parameters of the last execution without their values, whose types apply to an execution without types; null
+         * before the first.
+         */
         List<Params.Param> lastParams;
         /** Pieces of values for the next execution. */
         List<MysqlRequest.LongData> longData = new ArrayList<>();
 
         int longDataBytes;
+        /** Whether a piece of a value was dropped, so that the next execution must be rejected. */
+        boolean isIncomplete;
+        /** What the statement counts towards the memory for prepared statements, without its values. */
+        long memoryBytes;
 
         Prepared(byte[] text, int placeholders) {
             this.text = text;
             this.placeholders = placeholders;
         }
 
-        void clearLongData() {
-            longData = new ArrayList<>();
-            longDataBytes = 0;
+        /** Memory that the values take. */
+        long longDataMemoryBytes() {
+            return longDataBytes + (long) longData.size() * PART_BYTES;
         }
     }
 
-    PreparedStatements(MysqlClient client) {
+    /** @param memory memory for the prepared statements of all clients */
+    PreparedStatements(MysqlClient client, ByteBudget memory) {
         this.client = client;
+        this.memory = memory;
     }
 
     /**
@@ -56,7 +75,8 @@
      */
     void prepare(byte[] text) {
         int placeholders = Params.countPlaceholders(text);
-        if (placeholders > MAX_PLACEHOLDERS || statements.size() >= MAX_STATEMENTS) {
+        long memoryBytes = text.length + STATEMENT_BYTES;
+        if (placeholders > MAX_PLACEHOLDERS || statements.size() >= MAX_STATEMENTS || !memory.reserve(memoryBytes)) {
             client.error(
                     placeholders > MAX_PLACEHOLDERS ? TOO_MANY_PLACEHOLDERS : TOO_MANY_STATEMENTS,
                     placeholders > MAX_PLACEHOLDERS ? "HY000" : "42000",
@@ -64,9 +84,12 @@
             return;
         }
         long id = ++lastId;
-        statements.put(id, new Prepared(text, placeholders));
+        Prepared statement = new Prepared(text, placeholders);
+        statement.memoryBytes = memoryBytes;
+        statements.put(id, statement);
         int sequence = 1;
-        client.link.write(new PacketWriter()
+        List<byte[]> answer = new ArrayList<>();
+        answer.add(new PacketWriter()
                 .int1(0)
                 .fixedInt(id, 4)
                 .fixedInt(0, 2)
@@ -75,7 +98,7 @@
                 .fixedInt(0, 2)
                 .packet(sequence++));
         for (int i = 0; i < placeholders; i++) {
-            client.link.write(new PacketWriter()
+            answer.add(new PacketWriter()
                     .lengthEncoded("def")
                     .lengthEncoded("")
                     .lengthEncoded("")
@@ -92,8 +115,9 @@
                     .packet(sequence++));
         }
         if (placeholders > 0 && !client.hasCapability(Protocol.DEPRECATE_EOF)) {
-            client.link.write(Protocol.eof(Protocol.STATUS_AUTOCOMMIT, sequence));
+            answer.add(Protocol.eof(Protocol.STATUS_AUTOCOMMIT, sequence));
         }
+        client.link.write(answer.toArray(new byte[0][]));
     }
 
     /** Takes COM_STMT_SEND_LONG_DATA, which has no answer: keeps a piece of a value for the next execution. */
@@ -101,16 +125,54 @@
         Prepared statement = statements.get(in.fixedInt(4));
         int param = (int) in.fixedInt(2);
         byte[] bytes = in.rest();
-        if (statement == null || param >= statement.placeholders) {
+        if (statement == null || param >= statement.placeholders || statement.isIncomplete) {
             return;
         }
-        statement.longDataBytes += bytes.length;
-        if (statement.longDataBytes > MAX_LONG_DATA_BYTES) {
+        if (statement.longDataBytes + bytes.length > MAX_LONG_DATA_BYTES) {
             throw new Framer.Malformed("values sent ahead are too long");
         }
+        if (!memory.reserve(bytes.length + PART_BYTES)) {
+            WARNINGS.warn("values sent ahead are dropped and their executions refused: memory for them is used up");
+            markIncomplete(statement);
+            return;
+        }
+        statement.longDataBytes += bytes.length;
         statement.longData.add(new MysqlRequest.LongData(param, bytes));
     }
 
+    /** A piece of a value, or the command to discard earlier ones, was dropped: the next execution is rejected. */
+    void markIncomplete(long id) {
+        Prepared statement = statements.get(id);
+        if (statement != null) {
+            markIncomplete(statement);
+        }
+    }
+
+    /** As {@link #markIncomplete(long)}, for all statements. */
+    void markAllIncomplete() {
+        statements.values().forEach(this::markIncomplete);
+    }
+
+    private void markIncomplete(Prepared statement) {
+        clearValues(statement);
+        statement.isIncomplete = true;
+    }
+
+    /** An execution was rejected before it was read: discards the values for it. */
+    void clearValues(long id) {
+        Prepared statement = statements.get(id);
+        if (statement != null) {
+            clearValues(statement);
+        }
+    }
+
+    private void clearValues(Prepared statement) {
+        memory.add(-statement.longDataMemoryBytes());
+        statement.longData = new ArrayList<>();
+        statement.longDataBytes = 0;
+        statement.isIncomplete = false;
+    }
+
     /** Reads COM_STMT_EXECUTE; null where it has been answered with an error. */
     MysqlRequest execute(PacketReader in) throws Framer.Malformed {
         Prepared statement = statements.get(in.fixedInt(4));
@@ -118,9 +180,13 @@
             sendUnknownStatement();
             return null;
         }
+        if (statement.isIncomplete) {
+            clearValues(statement);
+            client.error(MysqlClient.REQUEST_REJECTED, "42000", "a value was not taken: a repeat does no harm");
+            return null;
+        }
         int flags = in.int1();
         in.fixedInt(4);
-        List<MysqlRequest.LongData> longData = statement.longData;
         List<Params.Param> params = List.of();
         boolean hasNames = client.hasCapability(Protocol.QUERY_ATTRIBUTES);
         int count = statement.placeholders;
@@ -128,18 +194,38 @@
             count = Params.checkedCount(in.lengthEncodedInt());
         }
         if (count < statement.placeholders) {
+            clearValues(statement);
             client.error(WRONG_ARGUMENTS, "HY000", "Incorrect arguments to EXECUTE");
             return null;
         }
         if (count > 0) {
             params = Params.read(in, count, hasNames, statement.lastParams, sentAsLongData(statement));
-            statement.lastParams = params;
+            if (!keepTypes(statement, params)) {
+                clearValues(statement);
+                client.error(MysqlClient.REQUEST_REJECTED, "42000", "no memory for its types: a repeat does no harm");
+                return null;
+            }
         }
-        statement.clearLongData();
+        List<MysqlRequest.LongData> longData = statement.longData;
+        clearValues(statement);
         return new MysqlRequest(
                 statement.text, new Statement(statement.text), true, params, statement.placeholders, longData);
     }
 
+    /** Keeps the types of an execution for the next one; false if there is no memory for them. */
+    private boolean keepTypes(Prepared statement, List<Params.Param> params) {
+        long memoryBytes = statement.text.length + STATEMENT_BYTES;
+        for (Params.Param param : params) {
+            memoryBytes += PART_BYTES + param.name().length();
+        }
+        if (!memory.reserve(memoryBytes - statement.memoryBytes)) {
+            return false;
+        }
+        statement.memoryBytes = memoryBytes;
+        statement.lastParams = params.stream().map(Params.Param::withoutValue).toList();
+        return true;
+    }
+
     /** For each placeholder whether its value was sent by COM_STMT_SEND_LONG_DATA. */
     private static List<Boolean> sentAsLongData(Prepared statement) {
         List<Boolean> sentAsLongData = new ArrayList<>();
@@ -156,18 +242,27 @@
         if (statement == null) {
             sendUnknownStatement();
         } else {
-            statement.clearLongData();
+            clearValues(statement);
             client.ok();
         }
     }
 
     /** Takes COM_STMT_CLOSE, which has no answer: removes a statement. */
     void close(long id) {
-        statements.remove(id);
+        Prepared statement = statements.remove(id);
+        if (statement != null) {
+            release(statement);
+        }
+    }
+
+    private void release(Prepared statement) {
+        clearValues(statement);
+        memory.add(-statement.memoryBytes);
     }
 
     /** Removes all statements; their ids are not reused. */
     void clear() {
+        statements.values().forEach(this::release);
         statements.clear();
     }
 
