Decide anew on a request whose statement a db node took long to prepare

Cause: the wait for the answer to COM_STMT_PREPARE lies between the decision and the send, and nothing was asked behind it, as Pool.connectionReady does behind the wait for a connection. Two more gaps of the kind: nothing but drains limited how late the I/O thread may hand a request to the socket, and that for its first byte only, while a bound on the age of data counts from the last. An answer received before the execute was written was also held against the end of the prepare.

Change: Pool.mayStillSend asks Pooler.maySend once more; the connection stays, the attempt ends as not sent. The send deadline of a link has a second time, for the last byte: until the replica's last stated position is too old for the class, or the window of a keyed retry ends, with half of the 50 ms that sockets allow for the handoff.

--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -227,10 +227,10 @@
     }
 
     /**
-     * Whether an attempt that has waited for a connection to an instance may be sent on it. Since the attempt was
-     * routed, the instance may have begun to drain, the client may have disconnected, a write may have become unsafe to
-     * retry, and the db node's data may have become too old for a read. All of these are judged when the first byte is
-     * sent.
+     * Whether an attempt that has waited, for a connection to an instance or for the preparation of its statement
+     * there, may be sent on it. Since the attempt was routed, the instance may have begun to drain, the client may have
+     * disconnected, a write may have become unsafe to retry, and the db node's data may have become too old for a read.
+     * All of these are judged when the first byte is sent.
      *
      * @param opened the instance that the connection was opened to
      * @param openedAtMicros when it was opened
@@ -248,6 +248,15 @@
                         && router.router().mayStillBeSent(waiting.request.routerId, loop.now());
     }
 
+    /**
+     * The latest time at which the last byte of an attempt's request may be handed to a socket, in Unix microseconds;
+     * {@link Long#MAX_VALUE} for no limit. Until then its data is fresh enough and a retry safe.
+     */
+    public long latestEndOfSendMicros(long attempt) {
+        Attempt sent = attempts.get(attempt);
+        return sent == null ? Long.MAX_VALUE : router.router().latestSendMicros(sent.request.routerId);
+    }
+
     /**
      * The latest time at which the first byte of a request that is routed now may be written to a db node, in Unix
      * microseconds: the end of the grace period of its known drain, or of one that discovery may have sent since.
--- a/daemon/src/test/java/lupinvalve/integration/World.java
+++ b/daemon/src/test/java/lupinvalve/integration/World.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import lupinvalve.cli.Daemon;
 import lupinvalve.config.NodeConfig;
@@ -54,6 +55,17 @@
      *     for neither
      */
     public World(int sockets, OperatorConfig operator, Path sharedDirectory, DbNode... nodes) throws Exception {
+        this(sockets, operator, sharedDirectory, UnaryOperator.identity(), nodes);
+    }
+
+    /** @param settings changes the text of the example's configuration */
+    public World(OperatorConfig operator, UnaryOperator<String> settings, DbNode... nodes) throws Exception {
+        this(1024, operator, null, settings, nodes);
+    }
+
+    private World(
+            int sockets, OperatorConfig operator, Path sharedDirectory, UnaryOperator<String> settings, DbNode... nodes)
+            throws Exception {
         this.nodes = List.of(nodes);
         thread(() -> {
             while (true) {
@@ -69,7 +81,7 @@
                 }
             }
         });
-        daemon = daemon(config(discovery, sockets), operator, sharedDirectory);
+        daemon = daemon(settings.apply(config(discovery, sockets)), operator, sharedDirectory);
         daemon.start();
     }
 
--- a/daemon/src/test/java/lupinvalve/mysql/MysqlPort.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlPort.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import javax.crypto.Cipher;
 import lupinvalve.integration.DbNode;
@@ -35,6 +36,8 @@
     private final boolean isPasswordCached;
     /** Statements prepared at this server, over all connections. */
     public final AtomicInteger prepareCount = new AtomicInteger();
+    /** Statements are answered as prepared once it is open. */
+    public volatile CountDownLatch preparesHold = new CountDownLatch(0);
 
     /**
      * Starts the endpoint and registers its address with the node.
@@ -190,6 +193,7 @@
 
         private void prepare(String statement) throws IOException {
             prepareCount.incrementAndGet();
+            World.hold(preparesHold);
             long id = 7 + prepared.size() * 3L;
             prepared.put(id, statement);
             int placeholders = statement.replaceAll("[^?]", "").length();
--- a/daemon/src/test/java/lupinvalve/mysql/RawMysqlClient.java
+++ b/daemon/src/test/java/lupinvalve/mysql/RawMysqlClient.java
@@ -28,6 +28,7 @@
     RawMysqlClient(InetSocketAddress address, String user, String password) throws IOException {
         socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout(10_000);
+        socket.setTcpNoDelay(true);
         in = new DataInputStream(socket.getInputStream());
         byte[] handshake = readPacket();
         int versionEnd = 1;
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -117,7 +117,7 @@
                 case PREPARE_RESPONSE -> takePrepareResponse(mysqlConn, packet);
                 case PREPARE_DEFINITIONS -> {
                     if (--mysqlConn.definitionsLeft == 0) {
-                        executePrepared(mysqlConn);
+                        statementPrepared(mysqlConn);
                     }
                 }
                 case ANSWER, COLUMN_DEFINITIONS, ROWS -> {
@@ -237,7 +237,16 @@
         conn.definitionsLeft = columns + params;
         conn.state = State.PREPARE_DEFINITIONS;
         if (conn.definitionsLeft == 0) {
+            statementPrepared(conn);
+        }
+    }
+
+    /** The db node has prepared the statement, which may have taken long: executes it if the request may be sent. */
+    private void statementPrepared(MysqlConn conn) {
+        conn.state = State.IDLE;
+        if (mayStillSend(conn)) {
             executePrepared(conn);
+            requestWritten(conn);
         }
     }
 
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -106,6 +106,8 @@
     private volatile long sendDeadlineMicros = Long.MAX_VALUE;
 
     private volatile long sendDeadlineFromByte;
+    /** The latest time at which any byte from {@code sendDeadlineFromByte} on may be handed to the socket. */
+    private volatile long sendEndDeadlineMicros = Long.MAX_VALUE;
     /** Whether a write was refused because of the deadline. */
     private volatile boolean sendDeadlineMissed;
     // Used by both threads, under the lock: a read and the decision to close the connection exclude each other.
@@ -187,13 +189,15 @@
     }
 
     /**
-     * Whether the deadline of {@link #setSendDeadline} has passed before its first byte was handed to the socket;
+     * Whether a deadline of {@link #setSendDeadline} has passed before the byte that is next was handed to the socket;
      * processor's thread.
      *
      * @param written bytes handed to the socket so far
      */
     boolean checkSendDeadline(long written) {
-        if (written == sendDeadlineFromByte && loop.now() > sendDeadlineMicros) {
+        long fromByte = sendDeadlineFromByte;
+        if (written == fromByte && loop.now() > sendDeadlineMicros
+                || written >= fromByte && loop.now() > sendEndDeadlineMicros) {
             sendDeadlineMissed = true;
         }
         return sendDeadlineMissed;
@@ -615,18 +619,25 @@
     }
 
     /**
-     * Sets the latest time, in microseconds of the event loop, at which the first byte written from now on may be
-     * handed to the socket. Guards decisions of limited validity against a processor thread that gets no time to run:
-     * if it is late the write fails, none of these bytes is sent, and the connection is closed as after an I/O error.
-     * Core thread.
+     * Sets the latest times, in microseconds of the event loop, at which the first and the last byte written from now
+     * on may be handed to the socket. Guards decisions of limited validity against a processor thread that gets no time
+     * to run, and against a peer that stops reading in the middle of them: if a time has passed the write fails, none
+     * of the remaining bytes is sent, and the connection is closed as after an I/O error. Core thread.
      */
-    public void setSendDeadline(long micros) {
-        sendDeadlineMicros = Long.MAX_VALUE;
+    public void setSendDeadline(long firstByteMicros, long lastByteMicros) {
+        clearSendDeadline();
         sendDeadlineFromByte = outbound.bytesSubmitted();
-        sendDeadlineMicros = micros;
+        sendEndDeadlineMicros = lastByteMicros;
+        sendDeadlineMicros = firstByteMicros;
+    }
+
+    /** What is written from now on has no deadline; core thread. */
+    public void clearSendDeadline() {
+        sendDeadlineMicros = Long.MAX_VALUE;
+        sendEndDeadlineMicros = Long.MAX_VALUE;
     }
 
-    /** Whether the connection was closed because the deadline of {@link #setSendDeadline} had passed. */
+    /** Whether the connection was closed because a deadline of {@link #setSendDeadline} had passed. */
     public boolean missedSendDeadline() {
         return sendDeadlineMissed;
     }
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -143,6 +143,9 @@
     /** The least value of {@link #surplusIdleMicros} unless the idle limit is shorter. */
     private static final long SURPLUS_IDLE_MIN_MICROS = 500_000;
 
+    /** The part of the 50 ms by which limits on sends are longer on sockets that the handoff to one may use. */
+    private static final long HANDOFF_MICROS = 25_000;
+
     private final Dialer dialer;
     private final Bounds bounds;
     protected final Pooler pooler;
@@ -397,8 +400,9 @@
                 reportEnd(job, AttemptOutcome.TIMED_OUT, null, LogPosition.UNKNOWN, ServerRole.UNKNOWN);
             });
         }
+        connection.link.clearSendDeadline();
         start(connection);
-        connection.bytesThroughRequest = connection.link.bytesSubmitted();
+        requestWritten(connection);
     }
 
     private void release(PooledConnection connection) {
@@ -544,13 +548,41 @@
         }
     }
 
+    /** A limit on the end of a send, with the time that the handoff to the socket's thread may take. */
+    private static long withHandoff(long micros) {
+        return micros == Long.MAX_VALUE ? micros : micros + HANDOFF_MICROS;
+    }
+
+    /**
+     * To be called before a request that has waited on its connection is written, for messages that prepare it: whether
+     * it may still be sent. If not, its attempt has ended without having been sent.
+     */
+    protected final boolean mayStillSend(PooledConnection connection) {
+        Job job = connection.job;
+        if (job.isProbe()
+                || pooler.maySend(connection.node, connection.instance, connection.openedAtMicros, job.attempt)) {
+            return true;
+        }
+        release(connection);
+        makeIdle(connection);
+        reportEnd(job, AttemptOutcome.NOT_SENT, null, LogPosition.UNKNOWN, ServerRole.UNKNOWN);
+        return false;
+    }
+
+    /** To be called once the request has been written: an answer that was received earlier is not its own. */
+    protected final void requestWritten(PooledConnection connection) {
+        connection.bytesThroughRequest = connection.link.bytesSubmitted();
+    }
+
     /** To be called right before the request itself is written: from then on it may have run. */
     protected final void markSent(PooledConnection connection) {
         connection.sent = true;
         connection.bytesBeforeRequest = connection.link.bytesSubmitted();
         if (!connection.job.isProbe()) {
             pooler.metrics().attemptSent();
-            connection.link.setSendDeadline(pooler.latestStartMicros(connection.node));
+            connection.link.setSendDeadline(
+                    pooler.latestStartMicros(connection.node),
+                    withHandoff(pooler.latestEndOfSendMicros(connection.job.attempt)));
         }
     }
 
--- a/routing/src/main/java/lupinvalve/routing/ReplicationLag.java
+++ b/routing/src/main/java/lupinvalve/routing/ReplicationLag.java
@@ -73,6 +73,14 @@
                                 || context.nowMicros() - state.lagMicros + allowanceMicros >= requiredPosition);
     }
 
+    /**
+     * Until when a replica that has stated its position may be sent a read that bounds the age of data, unless it
+     * states a later one; {@link Long#MAX_VALUE} where servers check that themselves.
+     */
+    long freshUntilMicros(Server server, long maxStalenessMicros) {
+        return checkedByServers ? Long.MAX_VALUE : server.lag.position + maxStalenessMicros;
+    }
+
     /**
      * Estimated time until a replica that is not fresh may be so, in microseconds. Where servers check the position
      * themselves, it is the required position minus the estimated one, which advances with the clock. Elsewhere only a
--- a/routing/src/main/java/lupinvalve/routing/RetryPolicy.java
+++ b/routing/src/main/java/lupinvalve/routing/RetryPolicy.java
@@ -123,6 +123,14 @@
                 || server.listing.zone() == history.mayHaveRunAt.listing.zone();
     }
 
+    /** The latest time of an attempt that {@link #mayRunAt} allows now; {@link Long#MAX_VALUE} for no limit. */
+    long mayRunUntilMicros(PendingRequest request) {
+        RequestClass requestClass = request.requestClass;
+        return !request.history.mayHaveRun() || requestClass.effect() == RequestClass.Effect.SAFE
+                ? Long.MAX_VALUE
+                : request.history.mayHaveRunSinceMicros + requestClass.keyTtlMicros();
+    }
+
     /**
      * Whether the final answer may be a rejection. A rejection states that a retry by the client does no harm, so it is
      * given only if the request can't have run or may run again at any server.
--- a/routing/src/main/java/lupinvalve/routing/Router.java
+++ b/routing/src/main/java/lupinvalve/routing/Router.java
@@ -125,6 +125,23 @@
                         || lag.isFresh(server, request.requiredPosition(nowMicros), earlierAttempts));
     }
 
+    /**
+     * The latest time at which a request's attempt may be sent completely, if {@link #mayStillBeSent} allows it now;
+     * {@link Long#MAX_VALUE} for no limit.
+     */
+    public long latestSendMicros(String id) {
+        PendingRequest request = lifecycle.find(id);
+        if (request == null || request.inFlight() == null) {
+            return Long.MAX_VALUE;
+        }
+        Server server = request.inFlight().server();
+        boolean isBounded =
+                request.requestClass.access() == RequestClass.Access.BOUNDED && server != request.group.primary();
+        long freshUntilMicros =
+                isBounded ? lag.freshUntilMicros(server, request.requestClass.maxStalenessMicros()) : Long.MAX_VALUE;
+        return Math.min(freshUntilMicros, retryPolicy.mayRunUntilMicros(request));
+    }
+
     /** Whether a server is currently taken for the primary of its group. */
     public boolean isPrimary(String node) {
         Server server = servers.server(node);
