Wake the I/O thread once a connection is to be read again

Callers saw: a client that sends faster than its input is processed waited up to a second at each pause of reading: 21 MB of values sent ahead by MySQL took 26 s, where no other connection was busy.

Cause: the selector takes up a changed interest at its next turn only, and nothing ended its wait of up to 1 s. Stacks of that time show the I/O thread in select and the core without work.

Change: Link.resumeReading wakes the I/O thread.

Test: inputThatComesFasterThanItIsProcessedIsReadWithoutPauses.

--- a/daemon/src/test/java/lupinvalve/mysql/MysqlPipelineTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlPipelineTest.java
@@ -170,6 +170,28 @@
         }
     }
 
+    /**
+     * Guards against reading that goes on up to a second late each time that it was paused, where no other connection
+     * wakes the I/O thread.
+     */
+    @Test
+    void inputThatComesFasterThanItIsProcessedIsReadWithoutPauses() throws Exception {
+        try (World world = world();
+                RawMysqlClient client = client(world)) {
+            byte[] piece = RawMysqlClient.longData(STATEMENT, new byte[262_000]);
+            long startNanos = System.nanoTime();
+            for (int i = 0; i < 80; i++) {
+                client.send(piece);
+                if (i % 4 == 3) {
+                    client.send(PING);
+                    assertEquals(List.of("ok"), client.answers(1));
+                }
+            }
+            long tookMillis = (System.nanoTime() - startNanos) / 1_000_000;
+            assertTrue(tookMillis < 5_000, tookMillis + " ms for 21 MB");
+        }
+    }
+
     /** Guards against an OutOfMemoryError by values that clients send ahead for statements that they do not execute. */
     @Test
     void valuesSentAheadAreBoundedOverAllStatementsAndTheirExecutionsRejected() throws Exception {
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -386,6 +386,7 @@
                 && session.isReadSuspended()
                 && !isReadingStopped()) {
             session.resumeRead();
+            Net.wakeUp(session);
         }
     }
 
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -150,6 +150,13 @@
         }
     }
 
+    /** Has the processor's thread notice at once that a session is to be read again; any thread. */
+    static void wakeUp(IoSession session) {
+        if (session instanceof NioSession nio && nio.getProcessor() instanceof Processor processor) {
+            processor.wakeup();
+        }
+    }
+
     /**
      * MINA's processor, extended so that a link can refuse reads and writes. The methods here run on the processor's
      * thread, except {@code scheduleClose}, which any thread may call, like {@code wakeup}, which is inherited.
@@ -179,6 +186,12 @@
             return super.select(timeout);
         }
 
+        /** Ends a wait of the processor's thread for its sockets; any thread. */
+        @Override
+        protected void wakeup() {
+            super.wakeup();
+        }
+
         private void scheduleClose(NioSession session) {
             pendingCloses.add(session);
             wakeup();
