Give the validity of a send a class of its own in the decisions

A server that was not chosen for its position, as while no primary is known, has no such limit: its last position may be unknown.

--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -245,7 +245,7 @@
         Attempt waiting = attempts.get(attempt);
         return waiting == null
                 || !waiting.request.isClientDisconnected()
-                        && router.router().mayStillBeSent(waiting.request.routerId, loop.now());
+                        && router.router().sendValidity().mayStillBeSent(waiting.request.routerId, loop.now());
     }
 
     /**
@@ -254,7 +254,7 @@
      */
     public long latestEndOfSendMicros(long attempt) {
         Attempt sent = attempts.get(attempt);
-        return sent == null ? Long.MAX_VALUE : router.router().latestSendMicros(sent.request.routerId);
+        return sent == null ? Long.MAX_VALUE : router.router().sendValidity().latestSendMicros(sent.request.routerId);
     }
 
     /**
--- a/routing/src/main/java/lupinvalve/routing/ReplicationLag.java
+++ b/routing/src/main/java/lupinvalve/routing/ReplicationLag.java
@@ -74,11 +74,18 @@
     }
 
     /**
-     * Until when a replica that has stated its position may be sent a read that bounds the age of data, unless it
-     * states a later one; {@link Long#MAX_VALUE} where servers check that themselves.
+     * Until when the data of the server in use is fresh enough for a request, unless the server states a later
+     * position; {@link Long#MAX_VALUE} where the request does not bound the age of data, where servers check it
+     * themselves, or where the server was not chosen for its position.
      */
-    long freshUntilMicros(Server server, long maxStalenessMicros) {
-        return checkedByServers ? Long.MAX_VALUE : server.lag.position + maxStalenessMicros;
+    long freshUntilMicros(PendingRequest request) {
+        Server server = request.inFlight().server();
+        long freshUntilMicros = server.lag.position + request.requestClass.maxStalenessMicros();
+        boolean isBounded = request.requestClass.access() == RequestClass.Access.BOUNDED
+                && !checkedByServers
+                && server != request.group.primary()
+                && freshUntilMicros >= context.nowMicros();
+        return isBounded ? freshUntilMicros : Long.MAX_VALUE;
     }
 
     /**
--- a/routing/src/main/java/lupinvalve/routing/Router.java
+++ b/routing/src/main/java/lupinvalve/routing/Router.java
@@ -34,6 +34,7 @@
     private final LongReadPlacement longReads;
     private final LoadShedding shedding;
     private final RequestLifecycle lifecycle;
+    private final SendValidity sendValidity;
     private final RequestQueue queue;
     private final EndpointList endpointList;
     private final EndpointWatch endpointWatch;
@@ -73,6 +74,7 @@
         RequestPlacement placement = new RequestPlacement(retryPolicy, writes, longReads, reads);
         QueuedRequests queued = new QueuedRequests();
         lifecycle = new RequestLifecycle(context, queued, retryPolicy, new RetryAfter(context));
+        sendValidity = new SendValidity(context, lifecycle, retryPolicy, lag);
         queue = new RequestQueue(context, servers, queued, new QueueDeadline(load), placement, lifecycle);
         tokens = new SessionTokens(context);
         clientRetries = new ClientRetryDetector(settings.classes());
@@ -107,39 +109,9 @@
         return server == null ? LogPosition.UNKNOWN : server.lag.position();
     }
 
-    /**
-     * Whether a request's attempt may still be sent once its connection has opened, which may have taken long: the
-     * replica may be too far behind by then, or the write no longer safe to retry.
-     */
-    public boolean mayStillBeSent(String id, long nowMicros) {
-        context.advanceTo(nowMicros);
-        PendingRequest request = lifecycle.find(id);
-        if (request == null || request.inFlight() == null) {
-            return false;
-        }
-        Server server = request.inFlight().server();
-        int earlierAttempts = request.history.attempts() - 1;
-        return retryPolicy.mayRunAt(server, request)
-                && (request.isWrite()
-                        || server == request.group.primary()
-                        || lag.isFresh(server, request.requiredPosition(nowMicros), earlierAttempts));
-    }
-
-    /**
-     * The latest time at which a request's attempt may be sent completely, if {@link #mayStillBeSent} allows it now;
-     * {@link Long#MAX_VALUE} for no limit.
-     */
-    public long latestSendMicros(String id) {
-        PendingRequest request = lifecycle.find(id);
-        if (request == null || request.inFlight() == null) {
-            return Long.MAX_VALUE;
-        }
-        Server server = request.inFlight().server();
-        boolean isBounded =
-                request.requestClass.access() == RequestClass.Access.BOUNDED && server != request.group.primary();
-        long freshUntilMicros =
-                isBounded ? lag.freshUntilMicros(server, request.requestClass.maxStalenessMicros()) : Long.MAX_VALUE;
-        return Math.min(freshUntilMicros, retryPolicy.mayRunUntilMicros(request));
+    /** Whether and until when a started attempt may be sent. */
+    public SendValidity sendValidity() {
+        return sendValidity;
     }
 
     /** Whether a server is currently taken for the primary of its group. */
