--- a/daemon/src/test/java/lupinvalve/integration/ServeThenEndThread.java
+++ b/daemon/src/test/java/lupinvalve/integration/ServeThenEndThread.java
@@ -6,6 +6,9 @@
 
 /** Runs the program, and ends a thread of it by an {@code Error} once its name arrives on standard input. */
 final class ServeThenEndThread {
+    private static final int MAX_ERRORS = 100;
+    private static final long ERROR_INTERVAL_MILLIS = 20;
+
     private ServeThenEndThread() {}
 
     public static void main(String[] args) throws Exception {
@@ -31,11 +34,23 @@
         return line.toString();
     }
 
-    @SuppressWarnings({"deprecation", "removal"})
     private static void endThread(String name) {
         for (Thread thread : Thread.getAllStackTraces().keySet()) {
             if (thread.getName().equals(name)) {
-                thread.stop();
+                endThread(thread);
+            }
+        }
+    }
+
+    /** Repeats the error until the thread has ended: where a connection's handler meets it, the thread goes on. */
+    @SuppressWarnings({"deprecation", "removal"})
+    private static void endThread(Thread thread) {
+        for (int i = 0; i < MAX_ERRORS && thread.isAlive(); i++) {
+            thread.stop();
+            try {
+                thread.join(ERROR_INTERVAL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
         }
     }
--- a/daemon/src/test/java/lupinvalve/mysql/MysqlPort.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlPort.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import javax.crypto.Cipher;
+import lupinvalve.config.OperatorConfig;
 import lupinvalve.integration.DbNode;
 import lupinvalve.integration.DbNode.Makes;
 import lupinvalve.integration.World;
@@ -59,6 +60,12 @@
         });
     }
 
+    /** The configuration of a pooler before such servers, with the account {@code portal} for clients. */
+    static OperatorConfig operatorConfig() {
+        return new OperatorConfig(
+                1, new OperatorConfig.Mysql("127.0.0.1:0", "portal", "towel", 0, USER, PASSWORD, ""), null, null);
+    }
+
     /** Generated once for all servers: it takes longer than the pooler's connect timeout. */
     private static KeyPair generateKeys() {
         try {
@@ -253,8 +260,11 @@
                             binary
                                     ? new PacketWriter().int1(0).int1(0).lengthEncoded("value")
                                     : new PacketWriter().lengthEncoded("value"));
-                    ok(0xFE);
-                    socket.getOutputStream().write(makes == Makes.MORE ? node.strange : new byte[0]);
+                    // In one write: a client that has its answer may ask again at once.
+                    byte[] last = okPacket(0xFE).packet(sequence++);
+                    byte[] behind = makes == Makes.MORE ? node.strange : new byte[0];
+                    socket.getOutputStream()
+                            .write(new PacketWriter().raw(last).raw(behind).payload());
                 }
                 case MISS -> error(1290, "HY000");
                 case BEHIND -> error(1105, "72000");
@@ -272,6 +282,10 @@
         }
 
         private void ok(int header) throws IOException {
+            write(okPacket(header));
+        }
+
+        private PacketWriter okPacket(int header) {
             byte[] asOf = new PacketWriter()
                     .lengthEncoded("as_of")
                     .lengthEncoded(Long.toString(node.asOf.getAsLong()))
@@ -280,7 +294,7 @@
                     .lengthEncoded("rank")
                     .lengthEncoded(node.rank())
                     .payload();
-            write(new PacketWriter()
+            return new PacketWriter()
                     .int1(header)
                     .lengthEncodedInt(0)
                     .lengthEncodedInt(0)
@@ -292,7 +306,7 @@
                             .lengthEncoded(asOf)
                             .int1(0)
                             .lengthEncoded(rank)
-                            .payload()));
+                            .payload());
         }
 
         private void error(int code, String state) throws IOException {
