Say once what the bounds on clients' memory had said twice

Both backends kept the same account of an answer that is being received; both fronts and the link had the same 64 KiB for a peer that reads at once; two anonymous classes differed by one call; header and part sizes, and the MySQL configuration of tests, stood twice and three times.

Change: Pool.reserveAnswer and releaseAnswer, Link.isPeerBehind, OutputMeter as a record of two functions, LinkBudgets.of, Net.processorOf, MysqlFramer.HEADER_BYTES, MysqlRequest.PART_BYTES, toString of the budgets, MysqlPort.operatorConfig.

--- a/daemon/src/test/java/lupinvalve/mysql/LatePrepareTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/LatePrepareTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
-import lupinvalve.config.OperatorConfig;
 import lupinvalve.integration.DbNode;
 import lupinvalve.integration.World;
 import org.junit.jupiter.api.Test;
@@ -33,16 +32,7 @@
     LatePrepareTest() throws Exception {}
 
     private World world(UnaryOperator<String> settings) throws Exception {
-        return new World(
-                new OperatorConfig(
-                        1,
-                        new OperatorConfig.Mysql(
-                                "127.0.0.1:0", "portal", "towel", 0, MysqlPort.USER, MysqlPort.PASSWORD, ""),
-                        null,
-                        null),
-                settings,
-                primary,
-                replica);
+        return new World(MysqlPort.operatorConfig(), settings, primary, replica);
     }
 
     private static String comment(String requestClass, String id) {
--- a/daemon/src/test/java/lupinvalve/mysql/MysqlPipelineTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlPipelineTest.java
@@ -8,7 +8,6 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import lupinvalve.config.OperatorConfig;
 import lupinvalve.integration.DbNode;
 import lupinvalve.integration.World;
 import lupinvalve.maintenance.ByteBudget;
@@ -35,15 +34,7 @@
     }
 
     private World world() throws Exception {
-        return new World(
-                new OperatorConfig(
-                        1,
-                        new OperatorConfig.Mysql(
-                                "127.0.0.1:0", "portal", "towel", 0, MysqlPort.USER, MysqlPort.PASSWORD, ""),
-                        null,
-                        null),
-                primary,
-                replica);
+        return new World(MysqlPort.operatorConfig(), primary, replica);
     }
 
     private static RawMysqlClient client(World world) throws Exception {
--- a/daemon/src/test/java/lupinvalve/mysql/MysqlTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/MysqlTest.java
@@ -166,16 +166,7 @@
     void a_statement_prepared_before_a_drain_executes_on_another_db_node() throws Exception {
         DbNode other = new DbNode("s-3", false);
         MysqlPort otherPort = new MysqlPort(other, true);
-        try (World world = new World(
-                        new OperatorConfig(
-                                1,
-                                new OperatorConfig.Mysql(
-                                        "127.0.0.1:0", "portal", "towel", 0, MysqlPort.USER, MysqlPort.PASSWORD, ""),
-                                null,
-                                null),
-                        primary,
-                        replica,
-                        other);
+        try (World world = new World(MysqlPort.operatorConfig(), primary, replica, other);
                 Connection client = client(world);
                 PreparedStatement read = client.prepareStatement(
                         "SELECT blob FROM rows WHERE handle = ?" + comment("bag-status", "b1", 900))) {
--- a/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
@@ -86,4 +86,10 @@
     public long limitBytes() {
         return limitBytes;
     }
+
+    /** What is taken, for the log. */
+    @Override
+    public String toString() {
+        return "unread " + unreadBytes + " and incoming " + incomingBytes + " of " + limitBytes + " bytes";
+    }
 }
--- a/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
@@ -45,4 +45,10 @@
     public long limitBytes() {
         return limitBytes;
     }
+
+    /** What is taken, for the log. */
+    @Override
+    public String toString() {
+        return takenBytes + " of " + limitBytes + " bytes";
+    }
 }
--- a/maintenance/src/main/java/lupinvalve/maintenance/MemoryBudgets.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/MemoryBudgets.java
@@ -99,16 +99,7 @@
     /** What is taken of each budget, for the log. */
     @Override
     public String toString() {
-        return "partial messages " + describe(partialMessages.takenBytes(), partialMessages.limitBytes())
-                + ", unprocessed input " + describe(unprocessedInput.takenBytes(), unprocessedInput.limitBytes())
-                + ", commands " + describe(commands.takenBytes(), commands.limitBytes())
-                + ", prepared statements "
-                + describe(preparedStatements.takenBytes(), preparedStatements.limitBytes())
-                + ", answers unread " + answers.unreadBytes() + " and incoming "
-                + describe(answers.incomingBytes(), answers.limitBytes());
-    }
-
-    private static String describe(long takenBytes, long limitBytes) {
-        return takenBytes + " of " + limitBytes + " bytes";
+        return "partial messages " + partialMessages + ", unprocessed input " + unprocessedInput + ", commands "
+                + commands + ", prepared statements " + preparedStatements + ", answers " + answers;
     }
 }
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -10,8 +10,6 @@
 import lupinvalve.core.LogPositionParser;
 import lupinvalve.core.Pooler;
 import lupinvalve.log.Log;
-import lupinvalve.log.RepeatedWarnings;
-import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Pool;
@@ -30,15 +28,12 @@
     /** Memory of a packet beside its bytes. */
     private static final int PACKET_BYTES = 32;
 
-    private final RepeatedWarnings warnings = new RepeatedWarnings();
-    private final AnswerBudget answerMemory;
     private NodeLogin.Account account;
 
     /** A pool with no connections yet; {@code database} may be empty. */
     public MysqlBackend(Dialer dialer, Pooler pooler, Bounds bounds, String user, String password, String database) {
         super(dialer, pooler, bounds);
         account = new NodeLogin.Account(user, password, database);
-        answerMemory = pooler.memory().answers();
         NodeLogin.loadCipher();
     }
 
@@ -70,8 +65,6 @@
         private int expectedSequence;
         private int[] columnTypes = new int[0];
         private List<byte[]> answerPackets = new ArrayList<>();
-        /** Bytes of the answer that count towards the memory for answers. */
-        private int bufferedBytes;
         /** The outcome that an ERR packet during the login stands for; null where none has come. */
         private AttemptOutcome errorOutcome;
 
@@ -121,8 +114,11 @@
                     }
                 }
                 case ANSWER, COLUMN_DEFINITIONS, ROWS -> {
-                    if (reserve(mysqlConn, packet)) {
+                    if (reserveAnswer(mysqlConn, packet.length + PACKET_BYTES)) {
                         takeAnswer(mysqlConn, packet);
+                    } else {
+                        mysqlConn.errorOutcome = null;
+                        closeBroken(mysqlConn);
                     }
                 }
                 default -> protocolError(mysqlConn, "packet without a request");
@@ -329,25 +325,9 @@
         }
     }
 
-    /** Reserves memory for a packet of an answer; closes the connection if there is none. */
-    private boolean reserve(MysqlConn conn, byte[] packet) {
-        int bytes = packet.length + PACKET_BYTES;
-        if (answerMemory.reserveIncoming(bytes)) {
-            conn.bufferedBytes += bytes;
-            return true;
-        }
-        warnings.warn("the memory for answers is used up: an answer is dropped and its db node's connection closed");
-        conn.errorOutcome = null;
-        closeBroken(conn);
-        return false;
-    }
-
     @Override
     protected void released(PooledConnection conn) {
-        MysqlConn mysqlConn = (MysqlConn) conn;
-        answerMemory.releaseIncoming(mysqlConn.bufferedBytes);
-        mysqlConn.bufferedBytes = 0;
-        mysqlConn.answerPackets = new ArrayList<>();
+        ((MysqlConn) conn).answerPackets = new ArrayList<>();
     }
 
     /** The column type in a column definition packet. */
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
@@ -13,8 +13,6 @@
 
     /** The error code for a request that has not run. */
     static final int REQUEST_REJECTED = 1226;
-    /** A client that reads its answers at once has no more than this unread. */
-    private static final long PROMPT_UNREAD_BYTES = 64 << 10;
 
     /** The state of the login. */
     enum Phase {
@@ -110,11 +108,6 @@
         return hasOpenRequest || !waitingCommands.isEmpty();
     }
 
-    /** Whether the client has answers unread. */
-    boolean hasUnreadAnswers() {
-        return link.pendingWriteBytes() > PROMPT_UNREAD_BYTES;
-    }
-
     /** Whether both sides have a capability. */
     boolean hasCapability(int capability) {
         return (capabilities & capability) != 0;
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFramer.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFramer.java
@@ -9,7 +9,9 @@
  * packets that it gives include their header. Used by one MINA thread at a time.
  */
 final class MysqlFramer implements Framer {
-    private static final int HEADER_BYTES = 4;
+    /** A packet's length and sequence number. */
+    static final int HEADER_BYTES = 4;
+
     private final int maxPayloadBytes;
 
     /** @param maxPayloadBytes a packet with a longer payload is malformed */
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -307,7 +307,7 @@
             if (pooler.hasOpenRequest(clientRequest.id())) {
                 throw new InvalidStatementException("field id names an open request");
             }
-            if (answerMemory.isNearLimit() && client.hasUnreadAnswers()) {
+            if (answerMemory.isNearLimit() && client.link.isPeerBehind()) {
                 warnings.warn("requests are refused as their clients have not read earlier answers");
                 refuse(client, clientRequest);
                 return;
@@ -344,7 +344,7 @@
             return;
         }
         MysqlRequest.Answer whole = (MysqlRequest.Answer) answer;
-        if (answerMemory.hasRoom(whole.size(), client.hasUnreadAnswers())) {
+        if (answerMemory.hasRoom(whole.size(), client.link.isPeerBehind())) {
             client.answer(whole);
         } else {
             warnings.warn("answers are replaced by errors as clients have not read earlier ones");
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
@@ -20,8 +20,8 @@
         List<Params.Param> params,
         int valueCount,
         List<LongData> longData) {
-    /** Memory of a parameter or a piece of a value beside its bytes. */
-    private static final int PART_BYTES = 64;
+    /** Memory of a parameter, its type or a piece of its value beside its bytes. */
+    static final int PART_BYTES = 64;
 
     /** Bytes of memory that the request takes while it is open. */
     long memoryBytes() {
--- a/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
+++ b/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
@@ -25,8 +25,6 @@
     private static final int UNKNOWN_STATEMENT = 1243;
     /** Memory of a prepared statement beside its text. */
     private static final int STATEMENT_BYTES = 256;
-    /** Memory of a piece of a value, or of a parameter's type, beside its bytes. */
-    private static final int PART_BYTES = 64;
 
     private static final RepeatedWarnings WARNINGS = new RepeatedWarnings();
 
@@ -59,7 +57,7 @@
 
         /** Memory that the values take. */
         long longDataMemoryBytes() {
-            return longDataBytes + (long) longData.size() * PART_BYTES;
+            return longDataBytes + (long) longData.size() * MysqlRequest.PART_BYTES;
         }
     }
 
@@ -131,7 +129,7 @@
         if (statement.longDataBytes + bytes.length > MAX_LONG_DATA_BYTES) {
             throw new Framer.Malformed("values sent ahead are too long");
         }
-        if (!memory.reserve(bytes.length + PART_BYTES)) {
+        if (!memory.reserve(bytes.length + MysqlRequest.PART_BYTES)) {
             WARNINGS.warn("values sent ahead are dropped and their executions refused: memory for them is used up");
             markIncomplete(statement);
             return;
@@ -216,7 +214,7 @@
     private boolean keepTypes(Prepared statement, List<Params.Param> params) {
         long memoryBytes = statement.text.length + STATEMENT_BYTES;
         for (Params.Param param : params) {
-            memoryBytes += PART_BYTES + param.name().length();
+            memoryBytes += MysqlRequest.PART_BYTES + param.name().length();
         }
         if (!memory.reserve(memoryBytes - statement.memoryBytes)) {
             return false;
--- a/mysql/src/main/java/lupinvalve/mysql/RejectedCommands.java
+++ b/mysql/src/main/java/lupinvalve/mysql/RejectedCommands.java
@@ -10,7 +10,6 @@
  * dropped: an execution must not run without its values, or with values of an earlier one. Core thread only.
  */
 final class RejectedCommands {
-    private static final int HEADER_BYTES = 4;
     /** As many as a client can have statements. */
     private static final int MAX_EFFECTS_COUNT = 256;
 
@@ -38,7 +37,7 @@
     }
 
     private static int code(byte[] packet) {
-        return packet.length > HEADER_BYTES ? packet[HEADER_BYTES] & 255 : -1;
+        return packet.length > MysqlFramer.HEADER_BYTES ? packet[MysqlFramer.HEADER_BYTES] & 255 : -1;
     }
 
     /** Adds the next command. */
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -65,8 +65,8 @@
      * A peer that leaves more than this unread has its connection reset; frontends hold back answers long before that.
      */
     private static final long PENDING_WRITE_MAX_BYTES = 16 << 20;
-    /** The same bound while the memory for all connections' pending writes is exhausted. */
-    private static final long PENDING_WRITE_SHORTAGE_BYTES = 64 << 10;
+    /** A peer that reads at once leaves no more than this pending. */
+    private static final long PROMPT_PENDING_BYTES = 64 << 10;
     /**
      * Parts from this size on are handed to MINA as they are; smaller ones are copied into one buffer with their
      * neighbours.
@@ -528,10 +528,8 @@
     }
 
     private boolean hasTooMuchPending() {
-        long pendingBytes = outbound.pendingBytes();
-        return pendingBytes > PENDING_WRITE_MAX_BYTES
-                || pendingBytes > PENDING_WRITE_SHORTAGE_BYTES
-                        && budgets.output().isExhausted();
+        return outbound.pendingBytes() > PENDING_WRITE_MAX_BYTES
+                || isPeerBehind() && budgets.output().isExhausted();
     }
 
     /**
@@ -557,6 +555,11 @@
         return closed ? 0 : outbound.pendingBytes();
     }
 
+    /** Whether more is pending than a peer leaves that reads at once; core thread. */
+    public boolean isPeerBehind() {
+        return pendingWriteBytes() > PROMPT_PENDING_BYTES;
+    }
+
     /** Whether so many bytes are pending that answers must wait; core thread. */
     public boolean isWriteBacklogged() {
         return !closed && outbound.isFull();
--- a/net/src/main/java/lupinvalve/net/LinkBudgets.java
+++ b/net/src/main/java/lupinvalve/net/LinkBudgets.java
@@ -20,34 +20,15 @@
     /** For a client's connection: what is written there are answers. */
     static LinkBudgets ofClient(MemoryBudgets budgets) {
         AnswerBudget answers = budgets.answers();
-        OutputMeter output = new OutputMeter() {
-            @Override
-            public void add(long bytes) {
-                answers.addUnread(bytes);
-            }
-
-            @Override
-            public boolean isExhausted() {
-                return answers.isExhausted();
-            }
-        };
-        return new LinkBudgets(budgets.partialMessages(), budgets.unprocessedInput(), output);
+        return of(budgets, new OutputMeter(answers::addUnread, answers::isExhausted));
     }
 
     /** For a connection that this process has dialled: what is written there are clients' commands. */
     static LinkBudgets ofDialled(MemoryBudgets budgets) {
-        ByteBudget commands = budgets.commands();
-        OutputMeter output = new OutputMeter() {
-            @Override
-            public void add(long bytes) {
-                commands.add(bytes);
-            }
+        return of(budgets, new OutputMeter(budgets.commands()::add, () -> false));
+    }
 
-            @Override
-            public boolean isExhausted() {
-                return false;
-            }
-        };
+    private static LinkBudgets of(MemoryBudgets budgets, OutputMeter output) {
         return new LinkBudgets(budgets.partialMessages(), budgets.unprocessedInput(), output);
     }
 }
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -143,8 +143,9 @@
 
     /** Has the processor's thread read once more and then close the connection if that finds nothing; any thread. */
     static void retire(IoSession session) {
-        if (session instanceof NioSession nio && nio.getProcessor() instanceof Processor processor) {
-            processor.scheduleClose(nio);
+        Processor processor = processorOf(session);
+        if (processor != null) {
+            processor.scheduleClose((NioSession) session);
         } else {
             session.closeNow();
         }
@@ -152,11 +153,19 @@
 
     /** Has the processor's thread notice at once that a session is to be read again; any thread. */
     static void wakeUp(IoSession session) {
-        if (session instanceof NioSession nio && nio.getProcessor() instanceof Processor processor) {
+        Processor processor = processorOf(session);
+        if (processor != null) {
             processor.wakeup();
         }
     }
 
+    /** The processor of a session on sockets; null for any other. */
+    private static Processor processorOf(IoSession session) {
+        return session instanceof NioSession nio && nio.getProcessor() instanceof Processor processor
+                ? processor
+                : null;
+    }
+
     /**
      * MINA's processor, extended so that a link can refuse reads and writes. The methods here run on the processor's
      * thread, except {@code scheduleClose}, which any thread may call, like {@code wakeup}, which is inherited.
--- a/net/src/main/java/lupinvalve/net/OutputMeter.java
+++ b/net/src/main/java/lupinvalve/net/OutputMeter.java
@@ -1,26 +1,24 @@
 package lupinvalve.net;
 
+import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+
 /**
  * Counts the memory of what has been written on connections and not been handed to their sockets, over all connections
  * that share it. Safe for all threads.
+ *
+ * @param adder counts pending bytes, or releases them if the number is negative
+ * @param exhaustion whether so much is pending that connections whose peers do not read must be reset
  */
-interface OutputMeter {
+record OutputMeter(LongConsumer adder, BooleanSupplier exhaustion) {
     /** Counts nothing. */
-    OutputMeter NONE = new OutputMeter() {
-        @Override
-        public void add(long bytes) {
-            // Nothing is counted.
-        }
-
-        @Override
-        public boolean isExhausted() {
-            return false;
-        }
-    };
+    static final OutputMeter NONE = new OutputMeter(bytes -> {}, () -> false);
 
-    /** Counts pending bytes, or releases them if the number is negative. */
-    void add(long bytes);
+    void add(long bytes) {
+        adder.accept(bytes);
+    }
 
-    /** Whether so much is pending that connections whose peers do not read must be reset. */
-    boolean isExhausted();
+    boolean isExhausted() {
+        return exhaustion.getAsBoolean();
+    }
 }
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -13,6 +13,7 @@
 import lupinvalve.core.Pooler;
 import lupinvalve.core.TimerQueue;
 import lupinvalve.log.Log;
+import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.ResourceBudgets;
 import lupinvalve.routing.AttemptOutcome;
 import lupinvalve.routing.LogPosition;
@@ -90,6 +91,8 @@
         private long idledMicros;
 
         private TimerQueue.Timer timer;
+        /** Bytes of the job's answer that are reserved, as they are buffered. */
+        private long answerBytesReserved;
 
         protected PooledConnection(String node) {
             this.node = node;
@@ -146,6 +149,7 @@
     /** The part of the 50 ms by which limits on sends are longer on sockets that the handoff to one may use. */
     private static final long HANDOFF_MICROS = 25_000;
 
+    private final RepeatedWarnings warnings = new RepeatedWarnings();
     private final Dialer dialer;
     private final Bounds bounds;
     protected final Pooler pooler;
@@ -414,6 +418,7 @@
         }
         connection.job = null;
         connection.sent = false;
+        releaseAnswer(connection);
         released(connection);
     }
 
@@ -569,6 +574,23 @@
         return false;
     }
 
+    /** Reserves memory for a part of the job's answer that is buffered; false if there is none. */
+    protected final boolean reserveAnswer(PooledConnection connection, int bytes) {
+        if (!pooler.memory().answers().reserveIncoming(bytes)) {
+            warnings.warn(
+                    "the memory for answers is used up: an answer is dropped and its db node's connection closed");
+            return false;
+        }
+        connection.answerBytesReserved += bytes;
+        return true;
+    }
+
+    /** Releases what {@link #reserveAnswer} has reserved, before the job is over if the answer is not buffered. */
+    protected final void releaseAnswer(PooledConnection connection) {
+        pooler.memory().answers().releaseIncoming(connection.answerBytesReserved);
+        connection.answerBytesReserved = 0;
+    }
+
     /** To be called once the request has been written: an answer that was received earlier is not its own. */
     protected final void requestWritten(PooledConnection connection) {
         connection.bytesThroughRequest = connection.link.bytesSubmitted();
--- a/pg/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/pg/src/main/java/lupinvalve/pg/PgBackend.java
@@ -7,8 +7,6 @@
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Statement;
 import lupinvalve.log.Log;
-import lupinvalve.log.RepeatedWarnings;
-import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Pool;
@@ -27,9 +25,7 @@
     private static final int MAX_ANSWER_BYTES = MAX_ROW_BYTES + (32 << 10);
 
     private static final byte[] HEALTH_CHECK_QUERY = PgMessages.textMessage('Q', "SHOW vitals");
-    private final RepeatedWarnings warnings = new RepeatedWarnings();
     private final byte[] startupMessage;
-    private final AnswerBudget answerMemory;
 
     /**
      * A pool with no connections yet.
@@ -40,7 +36,6 @@
     public PgBackend(Dialer dialer, Pooler pooler, Bounds bounds, String user, String database) {
         super(dialer, pooler, bounds);
         startupMessage = PgMessages.startup(user, database);
-        answerMemory = pooler.memory().answers();
     }
 
     /** The last message of the answer that has arrived; NONE before the first. */
@@ -64,8 +59,6 @@
         private int rowBytesLeft;
         /** Whether the chunks of a long row are streamed to the client as they arrive. */
         private boolean isStreaming;
-        /** Bytes of the answer that count towards the memory for answers, as they are buffered. */
-        private int bufferedBytes;
 
         private long position = LogPosition.UNKNOWN;
         private ServerRole role = ServerRole.UNKNOWN;
@@ -158,13 +151,14 @@
                 conn.job().attempt, conn.answerMessages.toArray(new byte[0][]), wait -> pauseReading(conn, wait))) {
             case PASS_ON -> {
                 conn.isStreaming = true;
-                releaseBuffered(conn);
+                conn.answerMessages.clear();
+                releaseAnswer(conn);
             }
             case DROP -> {
                 return false;
             }
             default -> {
-                return reserve(conn, conn.rowBytesLeft);
+                return reserveAnswer(conn, conn.rowBytesLeft);
             }
         }
         return true;
@@ -172,33 +166,17 @@
 
     /** Adds a message to the answer that is being buffered; false if there is no memory for it. */
     private boolean buffer(PgConn conn, byte[] message) {
-        if (!reserve(conn, message.length)) {
+        if (!reserveAnswer(conn, message.length)) {
             return false;
         }
         conn.answerMessages.add(message);
         return true;
     }
 
-    private boolean reserve(PgConn conn, int bytes) {
-        if (!answerMemory.reserveIncoming(bytes)) {
-            warnings.warn(
-                    "the memory for answers is used up: an answer is dropped and its db node's connection closed");
-            return false;
-        }
-        conn.bufferedBytes += bytes;
-        return true;
-    }
-
-    private void releaseBuffered(PgConn conn) {
-        answerMemory.releaseIncoming(conn.bufferedBytes);
-        conn.bufferedBytes = 0;
-        conn.answerMessages = new ArrayList<>(3);
-    }
-
     @Override
     protected void released(PooledConnection conn) {
         PgConn pgConn = (PgConn) conn;
-        releaseBuffered(pgConn);
+        pgConn.answerMessages = new ArrayList<>(3);
         pgConn.row = null;
     }
 
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -43,8 +43,6 @@
     private static final int REPLY_BYTES = 256;
     /** A client that is slow to read gets its next answer once no more than this is unread. */
     private static final long RESUME_UNREAD_BYTES = 256 << 10;
-    /** A client that reads its answers at once has no more than this unread. */
-    private static final long PROMPT_UNREAD_BYTES = 64 << 10;
     /** An answer up to this size is kept in any case: an error in its place would save nothing. */
     private static final int SHORT_ANSWER_BYTES = 256;
     /** An aborted row is padded in pieces of this size. */
@@ -111,7 +109,7 @@
 
         /** Whether answers for this client are kept, as it has not read those before them. */
         boolean hasUnreadAnswers() {
-            return waitingBytes > 0 || link.pendingWriteBytes() > PROMPT_UNREAD_BYTES;
+            return waitingBytes > 0 || link.isPeerBehind();
         }
     }
 
