Reproduce the incident: usual requests beside floods of one kind of input, failing

What callers saw: while six clients sent empty statements or asked for TLS at full speed, other clients' answers came seconds late or were refusals.

FloodDrill starts one pooler by deploy/run.sh (144 MB, 384 sockets) and lets 20 usual clients ask with deadlines of 400 to 1200 ms, half of them on ever new connections, while six others send one kind of input. It prints late, lost, served, p50, p99, worst and peak memory.

--- a/drills/src/main/java/lupinvalve/drills/SqlConnection.java
+++ b/drills/src/main/java/lupinvalve/drills/SqlConnection.java
@@ -43,6 +43,15 @@
      * @param isSlow whether the socket has a small receive buffer
      */
     SqlConnection(int port, int silenceMillis, boolean isSlow) throws IOException {
+        this(port, silenceMillis, isSlow, List.of());
+    }
+
+    /**
+     * Connects, writes the startup message and statements behind it at once, and reads the answer to the former.
+     *
+     * @param statements their answers are read by {@link #readAnswer}
+     */
+    SqlConnection(int port, int silenceMillis, boolean isSlow, List<String> statements) throws IOException {
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             if (isSlow) {
@@ -50,7 +59,10 @@
             }
             channel.socket().connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_MILLIS);
             channel.socket().setSoTimeout(silenceMillis);
-            write(startupMessage());
+            ByteArrayOutputStream first = new ByteArrayOutputStream();
+            first.write(startupMessage());
+            first.write(queries(statements));
+            write(first.toByteArray());
             readAnswer();
         } catch (IOException | RuntimeException e) {
             channel.close();
@@ -58,7 +70,8 @@
         }
     }
 
-    private static byte[] startupMessage() throws IOException {
+    /** The first message of a client. */
+    static byte[] startupMessage() throws IOException {
         byte[] names = "user\0api\0database\0ledger\0\0".getBytes(UTF_8);
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
@@ -75,6 +88,11 @@
 
     /** Sends all statements in one write. */
     void send(List<String> statements) throws IOException {
+        write(queries(statements));
+    }
+
+    /** The Query messages of statements. */
+    static byte[] queries(List<String> statements) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
         for (String statement : statements) {
@@ -83,7 +101,7 @@
             out.writeInt(Integer.BYTES + text.length);
             out.write(text);
         }
-        write(bytes.toByteArray());
+        return bytes.toByteArray();
     }
 
     private void write(byte[] bytes) throws IOException {
--- a/lab/src/main/java/lupinvalve/lab/Lab.java
+++ b/lab/src/main/java/lupinvalve/lab/Lab.java
@@ -29,7 +29,7 @@
             required = true,
             metaVar = "COMMAND",
             usage =
-                    "disk, faults, process-points, process-drill, soak, fleet-soak, audit-drill, store-drill, store-bench, store-cost, scale or capacity",
+                    "disk, faults, process-points, process-drill, soak, fleet-soak, flood, audit-drill, store-drill, store-bench, store-cost, scale or capacity",
             handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "disk", impl = Disk.class),
@@ -38,6 +38,7 @@
         @SubCommand(name = "process-drill", impl = ProcessDrill.class),
         @SubCommand(name = "soak", impl = SoakCommand.class),
         @SubCommand(name = "fleet-soak", impl = FleetSoakCommand.class),
+        @SubCommand(name = "flood", impl = FloodCommand.class),
         @SubCommand(name = "audit-drill", impl = AuditDrillCommand.class),
         @SubCommand(name = "store-drill", impl = StoreDrill.class),
         @SubCommand(name = "store-bench", impl = StoreBench.class),
@@ -76,6 +77,9 @@
             err.println(
                     "       lab fleet-soak [--seeds N] [--seed N] [--poolers N] [--groups N] [--clients N] [--sockets N] [--cores N] "
                             + "[--keep] [--json]");
+            err.println(
+                    "       lab flood [--kind KIND[,KIND]|all] [--flooders N] [--clients N] [--seconds N] [--seed N] [--core N] "
+                            + "[--log-lines N]");
             err.println(
                     "       lab audit-drill [--poolers N] [--seconds N] [--seed N] [--at-lease-end fence|serve] [--keep] [--json]");
             err.println(
