Log where late requests waited, who took a thread's time, and why requests are refused

The log could not tell the waits of a late request apart, nor which client had the thread's time. New lines, each at a bounded rate and with no label that clients can choose:

- a request answered 50 ms or more after its deadline: its waits for the event loop, in the router's queue, for a connection, for db nodes, as an answer for the event loop, and the client's unsent bytes; one a second at most.
- a thread (event loop or sockets) for which something waited 100 ms or more: longest wait, busy time, and the three connections that took the most; one line in 5 s at most.
- "refused at once" with reasons in the summary of requests.

No behaviour is changed.

--- a/core/src/main/java/lupinvalve/core/Attempt.java
+++ b/core/src/main/java/lupinvalve/core/Attempt.java
@@ -9,6 +9,9 @@
     final String node;
     /** When it was handed to its backend, in Unix microseconds. */
     final long startedAtMicros;
+    /** When its request was written, in Unix microseconds; 0 where it was not. */
+    long writtenAtMicros;
+
     /** Its handle in {@link AttemptTable}, which sets it. */
     long handle;
 
--- a/core/src/main/java/lupinvalve/core/EventLoop.java
+++ b/core/src/main/java/lupinvalve/core/EventLoop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lupinvalve.log.Log;
+import lupinvalve.maintenance.TimeUsage;
 
 /**
  * A thread that runs tasks posted by other threads, and timers, one at a time. The core's tables are confined to the
@@ -13,21 +14,24 @@
     /** Name of the core's thread. */
     public static final String CORE_THREAD_NAME = "core";
 
-    private static final long DELAY_LOG_PERIOD_MICROS = 500_000;
     private static final long IDLE_WAIT_MICROS = 1_000_000;
     /** Posted tasks that are run before due timers get a turn. */
     private static final int TASKS_PER_TURN_COUNT = 64;
 
-    private final LinkedBlockingQueue<Runnable> posted = new LinkedBlockingQueue<>();
+    /** A task that waits for the thread, with the connection that it belongs to, or null. */
+    private record PostedTask(TimeUsage.User user, Runnable task, long postedAtMicros) {}
+
+    private final LinkedBlockingQueue<PostedTask> posted = new LinkedBlockingQueue<>();
     private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final Clock clock = new Clock();
     private final TimerQueue timers = new TimerQueue();
     private final Thread thread;
     private volatile Runnable beforeEachTask = () -> {};
     private volatile boolean stopped;
-    private long longestDelayMicros;
-    private long delayCount;
-    private long delayPeriodStartMicros;
+    /** Which connections took the thread's time, for the log. */
+    private final TimeUsage usage;
+    /** How long the task that is running waited for the thread. */
+    private long currentTaskDelayMicros;
 
     /** Creates the core's event loop. */
     public EventLoop() {
@@ -41,6 +45,7 @@
      */
     public EventLoop(String name) {
         thread = new Thread(this::run, name);
+        usage = new TimeUsage(now());
     }
 
     /** Starts the thread; to be called once. */
@@ -57,7 +62,12 @@
 
     /** Queues a task; any thread. */
     public void post(Runnable task) {
-        posted.add(task);
+        post(null, task);
+    }
+
+    /** Queues a task that a connection is the cause of; any thread. */
+    public void post(TimeUsage.User user, Runnable task) {
+        posted.add(new PostedTask(user, task, now()));
     }
 
     /**
@@ -67,7 +77,7 @@
     public void postUrgent(Runnable task) {
         urgent.add(task);
         // Wakes the thread if it is waiting for a posted task.
-        posted.add(() -> {});
+        post(() -> {});
     }
 
     /**
@@ -83,16 +93,9 @@
         return clock.micros();
     }
 
-    /** Records how long received data was queued for this thread, for the debug log; on this thread only. */
-    public void recordQueueDelay(long micros) {
-        longestDelayMicros = Math.max(longestDelayMicros, micros);
-        delayCount++;
-        if (Log.isDebugEnabled() && now() - delayPeriodStartMicros > DELAY_LOG_PERIOD_MICROS) {
-            Log.debug("event loop: longest queue delay %d us over %d arrivals", longestDelayMicros, delayCount);
-            longestDelayMicros = 0;
-            delayCount = 0;
-            delayPeriodStartMicros = now();
-        }
+    /** How long the posted task that is running has waited for this thread; 0 in a timer. On this thread only. */
+    public long currentTaskDelayMicros() {
+        return currentTaskDelayMicros;
     }
 
     /** Runs {@code task} after {@code micros} microseconds, as soon as possible if negative; on this thread only. */
@@ -118,19 +121,40 @@
     private void runTurn() throws InterruptedException {
         long nextTimerMicros = timers.nextAtMicros();
         long waitMicros = nextTimerMicros == Long.MAX_VALUE ? IDLE_WAIT_MICROS : nextTimerMicros - now();
-        Runnable task = waitMicros <= 0 ? posted.poll() : posted.poll(waitMicros, TimeUnit.MICROSECONDS);
+        PostedTask task = waitMicros <= 0 ? posted.poll() : posted.poll(waitMicros, TimeUnit.MICROSECONDS);
         // Timers run after posted tasks, so that an answer that has already arrived takes precedence over its timeout.
         for (int i = 0; task != null && i < TASKS_PER_TURN_COUNT; i++) {
-            runAfterUrgent(task);
+            runPosted(task);
             task = posted.poll();
         }
         if (task != null) {
-            runAfterUrgent(task);
+            runPosted(task);
         }
+        currentTaskDelayMicros = 0;
         for (Runnable due = timers.pollDue(now()); due != null; due = timers.pollDue(now())) {
             runAfterUrgent(due);
         }
         runUrgent();
+        logUsage();
+    }
+
+    private void runPosted(PostedTask posted) {
+        runUrgent();
+        long startMicros = now();
+        currentTaskDelayMicros = startMicros - posted.postedAtMicros();
+        usage.waited(currentTaskDelayMicros);
+        runGuarded(posted.task());
+        usage.took(posted.user(), now() - startMicros);
+    }
+
+    private void logUsage() {
+        long now = now();
+        if (usage.isPeriodOver(now)) {
+            String text = usage.take(now);
+            if (!text.isEmpty()) {
+                Log.info("event loop %s: %s", thread.getName(), text);
+            }
+        }
     }
 
     private void runUrgent() {
--- a/core/src/main/java/lupinvalve/core/Frontend.java
+++ b/core/src/main/java/lupinvalve/core/Frontend.java
@@ -18,6 +18,16 @@
     /** Whether the client has disconnected according to its socket; the core may not have processed that yet. */
     boolean isClientDisconnected(long ticket);
 
+    /** The client of a request, for the log; not chosen by the client. */
+    default String clientLabel(long ticket) {
+        return "a client";
+    }
+
+    /** Bytes of answers to the client of a request that have not been handed to its socket. */
+    default long unreadBytes(long ticket) {
+        return 0;
+    }
+
     /**
      * A streamed answer starts. {@link #answerChunk} delivers further chunks, and {@link #served} or
      * {@link #answerAborted} ends it.
--- a/core/src/main/java/lupinvalve/core/OpenRequest.java
+++ b/core/src/main/java/lupinvalve/core/OpenRequest.java
@@ -28,6 +28,15 @@
     /** Log position that the answer must have reached, if this pooler remembers a token of the session; else 0. */
     long rememberedTokenMicros;
 
+    /** When it was submitted to the pooler, in Unix microseconds. */
+    long submittedAtMicros;
+    /** How long its attempts waited until their requests were written, in sum. */
+    long connectionWaitMicros;
+    /** How long its attempts waited for db nodes after that, in sum. */
+    long nodeMicros;
+    /** How long the ends of its attempts waited for the event loop, in sum. */
+    long answerWaitMicros;
+
     /** Attempts that the router has started, whether or not they were sent. */
     int attemptCount;
 
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -39,6 +39,7 @@
     private final RequestTable requests;
     private final AttemptTable attempts;
     private final RequestLifecycle lifecycle;
+    private final RequestLog log;
     private final EndpointRegistry endpoints = new EndpointRegistry();
     private final EndpointDraining draining;
     private final EndpointUpdates endpointUpdates;
@@ -62,7 +63,7 @@
         this.memory = memory;
         metrics =
                 new Metrics(settings.classes().stream().map(RequestClass::name).toList());
-        RequestLog log = new RequestLog(loop);
+        log = new RequestLog(loop);
         requests = new RequestTable(loop, metrics, log, TABLE_CAPACITY);
         attempts = new AttemptTable(loop, log, TABLE_CAPACITY, this::attemptAbandoned);
         router = new RouterDriver(loop, this::perform);
@@ -183,6 +184,12 @@
         return lifecycle.submit(frontend, ticket, request);
     }
 
+    /** Counts a request that a frontend has rejected before it was submitted. */
+    public void refused(int classIndex, RefusalReason reason) {
+        metrics.requestEnded(classIndex, Metrics.Result.REJECTED);
+        log.refused(reason);
+    }
+
     /**
      * Reports that the client of a request has disconnected or cancelled the request, which gets no answer any more.
      */
@@ -192,6 +199,15 @@
 
     // ---- attempts ----
 
+    /** Reports that an attempt's request is being written. */
+    public void attemptWritten(long handle) {
+        metrics.attemptSent();
+        Attempt attempt = attempts.get(handle);
+        if (attempt != null) {
+            attempt.writtenAtMicros = loop.now();
+        }
+    }
+
     /** Reports that the first part of an answer has arrived; returns what the backend is to do with the answer. */
     public StreamDecision answerStarted(long attempt, Object first, Backend.StreamSource source) {
         return lifecycle.answerStarted(attempt, first, source);
--- /dev/null
+++ b/core/src/main/java/lupinvalve/core/RefusalReason.java
@@ -0,0 +1,24 @@
+package lupinvalve.core;
+
+/** Why a frontend rejected a request before it was submitted. The texts stand in log lines. */
+public enum RefusalReason {
+    /** The client has too many requests unanswered. */
+    TOO_MANY_AT_ONCE("too many at once"),
+    /** There is no memory for the statement. */
+    NO_COMMAND_MEMORY("no memory for commands"),
+    /** The client has to read earlier answers first. */
+    ANSWERS_UNREAD("answers unread"),
+    /** All requests that may be open are. */
+    TABLE_FULL("table full");
+
+    private final String text;
+
+    RefusalReason(String text) {
+        this.text = text;
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- a/core/src/main/java/lupinvalve/core/RequestLifecycle.java
+++ b/core/src/main/java/lupinvalve/core/RequestLifecycle.java
@@ -67,6 +67,7 @@
         RequestClass requestClass = settings.classes().get(request.classIndex());
         OpenRequest open = requests.open(frontend, ticket, request, requestClass, deadlineMicros);
         long now = loop.now();
+        open.submittedAtMicros = now;
         long remainingMicros = deadlineMicros - now;
         long tokenMicros = sessionToken(open);
         // A commit's position is rounded up and may lie in the future; an age of 0 would mean that there is no token.
--- a/core/src/main/java/lupinvalve/core/RequestLog.java
+++ b/core/src/main/java/lupinvalve/core/RequestLog.java
@@ -12,6 +12,7 @@
 
     private final EventLoop loop;
     private final RequestSummary summary = new RequestSummary();
+    private final LateRequestLog lateRequests = new LateRequestLog();
     private boolean summaryScheduled;
 
     RequestLog(EventLoop loop) {
@@ -32,16 +33,24 @@
                     open.attemptCount == 0 ? -1 : open.firstAttemptAtMicros - request.arrivedAtMicros(),
                     request.timeoutMicros());
         }
+        lateRequests.ended(open, outcome, loop.now());
         if (summary.requestEnded(outcome)) {
             scheduleSummary();
         }
     }
 
+    /** A request was rejected before it was submitted. */
+    void refused(RefusalReason reason) {
+        summary.refused(reason);
+        scheduleSummary();
+    }
+
     void attemptStarted(Attempt attempt) {
         summary.attemptStarted(attempt.number);
     }
 
     void attemptEnded(Attempt attempt, AttemptOutcome outcome, long nowMicros) {
+        recordWaits(attempt, nowMicros);
         if (Log.isDebugEnabled()) {
             Log.debug(
                     "request %s, attempt %d: db node %s, %s after %d us",
@@ -56,6 +65,15 @@
         }
     }
 
+    private void recordWaits(Attempt attempt, long nowMicros) {
+        OpenRequest request = attempt.request;
+        boolean wasWritten = attempt.writtenAtMicros > 0;
+        long answerWaitMicros = loop.currentTaskDelayMicros();
+        request.answerWaitMicros += answerWaitMicros;
+        request.connectionWaitMicros += (wasWritten ? attempt.writtenAtMicros : nowMicros) - attempt.startedAtMicros;
+        request.nodeMicros += wasWritten ? Math.max(0, nowMicros - answerWaitMicros - attempt.writtenAtMicros) : 0;
+    }
+
     private void scheduleSummary() {
         if (!summaryScheduled) {
             summaryScheduled = true;
--- a/core/src/main/java/lupinvalve/core/RequestSummary.java
+++ b/core/src/main/java/lupinvalve/core/RequestSummary.java
@@ -19,6 +19,7 @@
 
     private final Map<String, Integer> requests = new TreeMap<>();
     private final Map<AttemptOutcome, Map<String, Integer>> attempts = new EnumMap<>(AttemptOutcome.class);
+    private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
     private int retries;
 
     /** Counts the end of a request; returns whether it calls for a summary. */
@@ -27,6 +28,11 @@
         return outcome != RequestOutcome.SERVED;
     }
 
+    /** Counts a request that was rejected before it was submitted. */
+    void refused(RefusalReason reason) {
+        refusals.merge(reason, 1, Integer::sum);
+    }
+
     /** Counts the start of an attempt; {@code number} is 0 for the first of a request. */
     void attemptStarted(int number) {
         retries += number > 0 ? 1 : 0;
@@ -48,6 +54,9 @@
                 .map(e -> e.getValue() + " " + e.getKey())
                 .collect(Collectors.joining(", ")));
         text.append("; ").append(retries).append(" retries");
+        if (!refusals.isEmpty()) {
+            text.append("; refused at once ").append(refusals);
+        }
         attempts.forEach((outcome, byNode) -> text.append("; attempts ")
                 .append(outcome)
                 .append(' ')
@@ -57,6 +66,7 @@
                 .append(')'));
         requests.clear();
         attempts.clear();
+        refusals.clear();
         retries = 0;
         return text.toString();
     }
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -11,11 +11,11 @@
 import lupinvalve.core.HandleTable;
 import lupinvalve.core.InvalidStatementException;
 import lupinvalve.core.Pooler;
+import lupinvalve.core.RefusalReason;
 import lupinvalve.core.Statement;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.maintenance.ByteBudget;
-import lupinvalve.maintenance.Metrics;
 import lupinvalve.net.ClientEndLog;
 import lupinvalve.net.ClientEviction;
 import lupinvalve.net.EndReason;
@@ -309,12 +309,12 @@
             }
             if (answerMemory.isNearLimit() && client.link.isPeerBehind()) {
                 warnings.warn("requests are refused as their clients have not read earlier answers");
-                refuse(client, clientRequest);
+                refuse(client, clientRequest, RefusalReason.ANSWERS_UNREAD);
                 return;
             }
             if (!commandMemory.reserve(request.memoryBytes())) {
                 warnings.warn("requests are refused as the memory for commands is used up");
-                refuse(client, clientRequest);
+                refuse(client, clientRequest, RefusalReason.NO_COMMAND_MEMORY);
                 return;
             }
             client.openRequestBytes = request.memoryBytes();
@@ -330,8 +330,8 @@
     }
 
     /** Refuses a request that has not been submitted. */
-    private void refuse(MysqlClient client, ClientRequest request) {
-        pooler.metrics().requestEnded(request.classIndex(), Metrics.Result.REJECTED);
+    private void refuse(MysqlClient client, ClientRequest request, RefusalReason reason) {
+        pooler.refused(request.classIndex(), reason);
         client.refused(pooler.settings().limits().maxRetryAfterMicros());
     }
 
@@ -377,6 +377,18 @@
         return client == null || client.link.hasEnded();
     }
 
+    @Override
+    public String clientLabel(long ticket) {
+        MysqlClient client = clients.get(ticket);
+        return client == null ? Frontend.super.clientLabel(ticket) : client.link.label();
+    }
+
+    @Override
+    public long unreadBytes(long ticket) {
+        MysqlClient client = clients.get(ticket);
+        return client == null ? 0 : client.link.pendingWriteBytes();
+    }
+
     /** The open request has been answered: continues with the commands that wait. */
     private void requestAnswered(MysqlClient client) {
         client.hasOpenRequest = false;
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -8,6 +8,7 @@
 import lupinvalve.core.EventLoop;
 import lupinvalve.log.Log;
 import lupinvalve.log.RepeatedWarnings;
+import lupinvalve.maintenance.TimeUsage;
 import org.apache.mina.core.RuntimeIoException;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.future.ConnectFuture;
@@ -39,7 +40,7 @@
  * read before is still delivered, bytes that are not handed to the socket yet are discarded, and {@link Events#closed}
  * follows.
  */
-public final class Link {
+public final class Link implements TimeUsage.User {
     /** Receives the events of a connection, on the core thread. */
     public interface Events {
         /** The connection is established; the first event. */
@@ -131,6 +132,9 @@
     private volatile EndReason endReason;
 
     private final long createdAt;
+    private volatile String peerAddress = "?";
+    /** Whether this process has opened the connection. */
+    private volatile boolean dialled;
     // Used by the core thread.
     private IoSession session;
     private final Outbound outbound;
@@ -220,7 +224,7 @@
             return false;
         }
         from.suspendRead();
-        loop.post(this::resumeReading);
+        loop.post(this, this::resumeReading);
         return true;
     }
 
@@ -275,6 +279,7 @@
     }
 
     void setConnectFuture(ConnectFuture future) {
+        dialled = true;
         connectFuture = future;
     }
 
@@ -282,12 +287,19 @@
         if (urgent) {
             loop.postUrgent(work);
         } else {
-            loop.post(work);
+            loop.post(this, work);
         }
     }
 
+    /** The connection's kind and its peer's address, for the log; any thread. */
+    @Override
+    public String label() {
+        return (dialled ? "server " : "client ") + peerAddress;
+    }
+
     /** The session is established; processor's thread. */
     void onOpened(IoSession opened) {
+        peerAddress = String.valueOf(opened.getRemoteAddress()).replaceFirst("^/", "");
         post(() -> {
             if (closed) {
                 opened.closeNow();
@@ -349,7 +361,6 @@
                 retiring = false;
                 endReason = null;
             }
-            loop.recordQueueDelay(loop.now() - receivedAtMicros);
             if (endsMidMessage && (!hasPartialMessage || !messages.isEmpty())) {
                 partialSinceMicros = receivedAtMicros;
             }
@@ -415,7 +426,7 @@
     private void resumeReadingIfDrained(IoSession to) {
         if (readingPausedForBacklog && to.getScheduledWriteBytes() <= Outbound.FULL_BYTES / 2) {
             readingPausedForBacklog = false;
-            loop.post(this::resumeReading);
+            loop.post(this, this::resumeReading);
         }
     }
 
@@ -483,11 +494,9 @@
         return loop.now() - createdAt;
     }
 
-    /** The peer's address for the log, or "?" before the connection is open; core thread. */
+    /** The peer's address for the log, or "?" before the connection is open; any thread. */
     public String peer() {
-        return session == null
-                ? "?"
-                : String.valueOf(session.getRemoteAddress()).replaceFirst("^/", "");
+        return peerAddress;
     }
 
     // ---- the core thread ----
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -25,6 +25,7 @@
 import lupinvalve.log.Log;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.MemoryBudgets;
+import lupinvalve.maintenance.TimeUsage;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.filterchain.IoFilter;
 import org.apache.mina.core.future.ConnectFuture;
@@ -172,6 +173,10 @@
      */
     public static class Processor extends NioProcessor {
         private final Queue<NioSession> pendingCloses = new ConcurrentLinkedQueue<>();
+        /** Which connections took the thread's time, for the log. */
+        private final TimeUsage usage = new TimeUsage(nowMicros());
+        /** When the last wait for the sockets ended. */
+        private long turnStartMicros = nowMicros();
 
         /** Runs on one of {@code threads}. */
         public Processor(Executor threads) {
@@ -184,11 +189,51 @@
             if (link == null) {
                 return super.read(session, in);
             }
-            return link.defersRead(session) ? 0 : link.read(() -> super.read(session, in));
+            if (link.defersRead(session)) {
+                return 0;
+            }
+            long startMicros = nowMicros();
+            try {
+                return link.read(() -> super.read(session, in));
+            } finally {
+                usage.took(link, nowMicros() - startMicros);
+            }
+        }
+
+        private static long nowMicros() {
+            return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+        }
+
+        /** Records that the thread has handled input of a connection since a time. */
+        private void handledInput(Link link, long startMicros) {
+            usage.took(link, nowMicros() - startMicros);
+        }
+
+        /** Ends a turn of the thread: each socket waits for one at most. */
+        private void endTurn() {
+            long now = nowMicros();
+            usage.waited(now - turnStartMicros);
+            if (usage.isPeriodOver(now)) {
+                String text = usage.take(now);
+                if (!text.isEmpty()) {
+                    Log.info(
+                            "thread %s of the sockets: %s",
+                            Thread.currentThread().getName(), text);
+                }
+            }
         }
 
         @Override
         protected int select(long timeout) throws Exception {
+            endTurn();
+            try {
+                return selectAfterCloses(timeout);
+            } finally {
+                turnStartMicros = nowMicros();
+            }
+        }
+
+        private int selectAfterCloses(long timeout) throws Exception {
             for (NioSession session = pendingCloses.poll(); session != null; session = pendingCloses.poll()) {
                 readBeforeClose(session);
             }
@@ -226,10 +271,18 @@
         @Override
         protected int write(NioSession session, IoBuffer out, int length) throws IOException {
             Link link = (Link) session.getAttribute(LINK);
-            if (link != null && (link.isFenced() || link.checkSendDeadline(session.getWrittenBytes()))) {
+            if (link == null) {
+                return super.write(session, out, length);
+            }
+            if ((link.isFenced() || link.checkSendDeadline(session.getWrittenBytes()))) {
                 throw new IOException("write refused: it is fenced, or its send deadline has passed");
             }
-            return super.write(session, out, length);
+            long startMicros = nowMicros();
+            try {
+                return super.write(session, out, length);
+            } finally {
+                usage.took(link, nowMicros() - startMicros);
+            }
         }
 
         /**
@@ -622,12 +675,18 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
+            Link link = link(session);
+            long startMicros = Processor.nowMicros();
             try {
-                link(session).onReceived(session, (IoBuffer) message);
+                link.onReceived(session, (IoBuffer) message);
             } catch (Error e) {
                 // MINA would pass it on and end the thread of all connections.
                 exceptionCaught(session, e);
             }
+            Processor processor = processorOf(session);
+            if (processor != null) {
+                processor.handledInput(link, startMicros);
+            }
         }
 
         @Override
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -601,7 +601,7 @@
         connection.sent = true;
         connection.bytesBeforeRequest = connection.link.bytesSubmitted();
         if (!connection.job.isProbe()) {
-            pooler.metrics().attemptSent();
+            pooler.attemptWritten(connection.job.attempt);
             connection.link.setSendDeadline(
                     pooler.latestStartMicros(connection.node),
                     withHandoff(pooler.latestEndOfSendMicros(connection.job.attempt)));
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -7,17 +7,18 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import lupinvalve.core.Backend;
 import lupinvalve.core.ClientRequest;
 import lupinvalve.core.Frontend;
 import lupinvalve.core.HandleTable;
 import lupinvalve.core.InvalidStatementException;
 import lupinvalve.core.Pooler;
+import lupinvalve.core.RefusalReason;
 import lupinvalve.core.Statement;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.maintenance.ByteBudget;
-import lupinvalve.maintenance.Metrics;
 import lupinvalve.maintenance.ResourceBudgets;
 import lupinvalve.net.ClientEndLog;
 import lupinvalve.net.ClientEviction;
@@ -405,11 +406,9 @@
             if (pooler.hasOpenRequest(request.id())) {
                 throw new InvalidStatementException("field id names an open request");
             }
-            if (client.pendingReplies.size() >= MAX_PIPELINED_REQUESTS
-                    || replies.isFull()
-                    || mustReadFirst(client)
-                    || !commandMemory.reserve(statement.size())) {
-                pooler.metrics().requestEnded(request.classIndex(), Metrics.Result.REJECTED);
+            Optional<RefusalReason> refusal = refusal(client, statement);
+            if (refusal.isPresent()) {
+                pooler.refused(request.classIndex(), refusal.get());
                 answer(client, rejection(pooler.settings().limits().maxRetryAfterMicros()), PgMessages.READY_FOR_QUERY);
                 return;
             }
@@ -423,6 +422,20 @@
         }
     }
 
+    /** Why a client's request is rejected at once; if it is not, the memory for its statement has been reserved. */
+    private Optional<RefusalReason> refusal(Client client, Statement statement) {
+        if (client.pendingReplies.size() >= MAX_PIPELINED_REQUESTS) {
+            return Optional.of(RefusalReason.TOO_MANY_AT_ONCE);
+        } else if (replies.isFull()) {
+            return Optional.of(RefusalReason.TABLE_FULL);
+        } else if (mustReadFirst(client)) {
+            return Optional.of(RefusalReason.ANSWERS_UNREAD);
+        }
+        return commandMemory.reserve(statement.size())
+                ? Optional.empty()
+                : Optional.of(RefusalReason.NO_COMMAND_MEMORY);
+    }
+
     /** Whether a client gets no further request served until it has read more of its answers. */
     private boolean mustReadFirst(Client client) {
         if (!answerMemory.isNearLimit() || !client.hasUnreadAnswers()) {
@@ -483,6 +496,18 @@
         return reply == null || reply.client.link.hasEnded();
     }
 
+    @Override
+    public String clientLabel(long ticket) {
+        Reply reply = replies.get(ticket);
+        return reply == null ? Frontend.super.clientLabel(ticket) : reply.client.link.label();
+    }
+
+    @Override
+    public long unreadBytes(long ticket) {
+        Reply reply = replies.get(ticket);
+        return reply == null ? 0 : reply.client.link.pendingWriteBytes();
+    }
+
     @Override
     public void answerStarted(long ticket, Object first, Backend.StreamSource source) {
         Reply reply = replies.get(ticket);
