Give each connection a bounded turn of the event loop: deficit round robin by time taken

What callers saw: usual requests waited up to 0.7 s for the core while others' small commands were worked off.

Cause: a task of the event loop was all that one read had brought, 11,000 empty statements and 34 ms of the core for 64 KB, and all connections' tasks ran in the order of their arrival. A client that sends more has more of the thread.

Change: FairQueue decides whose task is next, and nothing else does. A read is delivered in pieces of eight messages and goes on at its next turn. Input that waits for the core is shared by FairShare (dynamic threshold: a connection may hold as much as is free), counted with its objects. Input that was read is held back as well while the client has to read answers first.

--- a/core/src/main/java/lupinvalve/core/EventLoop.java
+++ b/core/src/main/java/lupinvalve/core/EventLoop.java
@@ -1,37 +1,65 @@
 package lupinvalve.core;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lupinvalve.log.Log;
+import lupinvalve.maintenance.FairQueue;
 import lupinvalve.maintenance.TimeUsage;
 
 /**
  * A thread that runs tasks posted by other threads, and timers, one at a time. The core's tables are confined to the
- * thread of its event loop, the core thread, so they need no locks.
+ * thread of its event loop, the core thread, so they need no locks. {@link FairQueue} decides whose task is next.
  */
 public final class EventLoop {
     /** Name of the core's thread. */
     public static final String CORE_THREAD_NAME = "core";
 
     private static final long IDLE_WAIT_MICROS = 1_000_000;
-    /** Posted tasks that are run before due timers get a turn. */
+    /** Posted tasks, and timers, that are run before the others get a turn. */
     private static final int TASKS_PER_TURN_COUNT = 64;
+    /** The time that posted tasks may take before what they have written is flushed. */
+    private static final long FLUSH_AFTER_MICROS = 500;
+    /** The time that urgent tasks may take in a row while others wait. */
+    private static final long URGENT_BURST_MICROS = 5_000;
 
-    /** A task that waits for the thread, with the connection that it belongs to, or null. */
-    private record PostedTask(TimeUsage.User user, Runnable task, long postedAtMicros) {}
+    /** A connection, or another origin of tasks: its tasks run in their order, and share one turn of the thread. */
+    public static final class Source {
+        private final TimeUsage.User user;
+        private final FairQueue.Flow<PostedTask> flow = new FairQueue.Flow<>();
 
+        /** @param user who the time of its tasks is ascribed to in the log; null for the program itself */
+        public Source(TimeUsage.User user) {
+            this.user = user;
+        }
+    }
+
+    /** A task that waits for the thread. */
+    private record PostedTask(Source source, Runnable task, long postedAtMicros) {}
+
+    /** Tasks on their way from other threads into {@link #tasks}. */
     private final LinkedBlockingQueue<PostedTask> posted = new LinkedBlockingQueue<>();
+
+    private final FairQueue<PostedTask> tasks = new FairQueue<>();
     private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
     private final Clock clock = new Clock();
     private final TimerQueue timers = new TimerQueue();
+    private final Source program = new Source(null);
     private final Thread thread;
     private volatile Runnable beforeEachTask = () -> {};
     private volatile boolean stopped;
+    /** What runs once before the thread waits or long after; filled by tasks of this turn. */
+    private List<Runnable> atTurnEnd = new ArrayList<>();
     /** Which connections took the thread's time, for the log. */
     private final TimeUsage usage;
     /** How long the task that is running waited for the thread. */
     private long currentTaskDelayMicros;
+    /** The posted task that runs, or ran last, and when it began. */
+    private PostedTask runningTask;
+
+    private long taskStartMicros;
 
     /** Creates the core's event loop. */
     public EventLoop() {
@@ -60,14 +88,14 @@
         post(() -> {});
     }
 
-    /** Queues a task; any thread. */
+    /** Queues a task of the program itself; any thread. */
     public void post(Runnable task) {
-        post(null, task);
+        post(program, task);
     }
 
-    /** Queues a task that a connection is the cause of; any thread. */
-    public void post(TimeUsage.User user, Runnable task) {
-        posted.add(new PostedTask(user, task, now()));
+    /** Queues a task behind those of the same source; any thread. */
+    public void post(Source source, Runnable task) {
+        posted.add(new PostedTask(source, task, now()));
     }
 
     /**
@@ -88,6 +116,27 @@
         beforeEachTask = task;
     }
 
+    /**
+     * Queues the rest of the posted task that is running, ahead of the others of its source, for when it is that
+     * source's turn again. On this thread only.
+     */
+    public void postRest(Runnable rest) {
+        tasks.addRest(new PostedTask(runningTask.source(), rest, runningTask.postedAtMicros()));
+    }
+
+    /** Whether the posted task that is running has had its share of the thread and ought to use {@link #postRest}. */
+    public boolean isTurnOver() {
+        return now() - taskStartMicros >= FairQueue.QUANTUM_MICROS;
+    }
+
+    /**
+     * Runs a task on this thread soon: after the tasks of this turn, which may write more to the same connections. On
+     * this thread only.
+     */
+    public void runAtTurnEnd(Runnable task) {
+        atTurnEnd.add(task);
+    }
+
     /** Unix time in microseconds; any thread. */
     public long now() {
         return clock.micros();
@@ -119,32 +168,87 @@
     }
 
     private void runTurn() throws InterruptedException {
-        long nextTimerMicros = timers.nextAtMicros();
-        long waitMicros = nextTimerMicros == Long.MAX_VALUE ? IDLE_WAIT_MICROS : nextTimerMicros - now();
-        PostedTask task = waitMicros <= 0 ? posted.poll() : posted.poll(waitMicros, TimeUnit.MICROSECONDS);
-        // Timers run after posted tasks, so that an answer that has already arrived takes precedence over its timeout.
-        for (int i = 0; task != null && i < TASKS_PER_TURN_COUNT; i++) {
-            runPosted(task);
-            task = posted.poll();
+        if (tasks.size() == 0) {
+            awaitTask();
         }
-        if (task != null) {
+        takePosted();
+        // Timers run after posted tasks, so that an answer that has already arrived takes precedence over its timeout;
+        // but not after all that a flood has left to do.
+        long startMicros = now();
+        for (int i = 0; i < TASKS_PER_TURN_COUNT && (i == 0 || tasks.hasSparse() || !isTimerDue()); i++) {
+            PostedTask task = tasks.poll();
+            if (task == null) {
+                break;
+            }
             runPosted(task);
+            if (now() - startMicros >= FLUSH_AFTER_MICROS) {
+                endTurn();
+                startMicros = now();
+            }
+            takePosted();
         }
         currentTaskDelayMicros = 0;
-        for (Runnable due = timers.pollDue(now()); due != null; due = timers.pollDue(now())) {
-            runAfterUrgent(due);
-        }
+        runDueTimers();
         runUrgent();
+        endTurn();
         logUsage();
     }
 
-    private void runPosted(PostedTask posted) {
+    private void awaitTask() throws InterruptedException {
+        long nextTimerMicros = timers.nextAtMicros();
+        long waitMicros = nextTimerMicros == Long.MAX_VALUE ? IDLE_WAIT_MICROS : nextTimerMicros - now();
+        PostedTask first =
+                waitMicros <= 0 || !urgent.isEmpty() ? posted.poll() : posted.poll(waitMicros, TimeUnit.MICROSECONDS);
+        if (first != null) {
+            tasks.add(first.source().flow, first, now());
+        }
+    }
+
+    private void takePosted() {
+        if (posted.isEmpty()) {
+            return;
+        }
+        long now = now();
+        for (PostedTask task = posted.poll(); task != null; task = posted.poll()) {
+            tasks.add(task.source().flow, task, now);
+        }
+    }
+
+    private boolean isTimerDue() {
+        return timers.nextAtMicros() <= now();
+    }
+
+    private void runDueTimers() {
+        Runnable due = timers.pollDue(now());
+        for (int i = 0; due != null && i < TASKS_PER_TURN_COUNT; i++) {
+            runUrgent();
+            runGuarded(due);
+            due = timers.pollDue(now());
+        }
+        if (due != null) {
+            runGuarded(due);
+        }
+    }
+
+    private void runPosted(PostedTask next) {
         runUrgent();
         long startMicros = now();
-        currentTaskDelayMicros = startMicros - posted.postedAtMicros();
+        runningTask = next;
+        taskStartMicros = startMicros;
+        currentTaskDelayMicros = startMicros - next.postedAtMicros();
         usage.waited(currentTaskDelayMicros);
-        runGuarded(posted.task());
-        usage.took(posted.user(), now() - startMicros);
+        runGuarded(next.task());
+        long endMicros = now();
+        tasks.charge(endMicros - startMicros, endMicros);
+        usage.took(next.source().user, endMicros - startMicros);
+    }
+
+    private void endTurn() {
+        if (!atTurnEnd.isEmpty()) {
+            List<Runnable> due = atTurnEnd;
+            atTurnEnd = new ArrayList<>();
+            due.forEach(this::runGuarded);
+        }
     }
 
     private void logUsage() {
@@ -159,16 +263,17 @@
 
     private void runUrgent() {
         runGuarded(beforeEachTask);
-        for (Runnable task = urgent.poll(); task != null; task = urgent.poll()) {
+        Runnable task = urgent.poll();
+        if (task == null) {
+            return;
+        }
+        long endMicros = now() + URGENT_BURST_MICROS;
+        while (task != null) {
             runGuarded(task);
+            task = now() < endMicros ? urgent.poll() : null;
         }
     }
 
-    private void runAfterUrgent(Runnable task) {
-        runUrgent();
-        runGuarded(task);
-    }
-
     /**
      * Logs what a task throws, so that a fault in one connection does not end the thread that serves all of them.
      * Errors are caught too: if a class that cannot be loaded or a stack overflow in one request ended the thread, the
--- a/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
@@ -26,6 +26,11 @@
         takenBytes.addAndGet(bytes);
     }
 
+    /** Whether a client that holds this much may take more, see {@link FairShare}. */
+    public boolean allows(long heldBytes) {
+        return FairShare.allows(heldBytes, takenBytes.get(), limitBytes);
+    }
+
     /** Whether nothing more is available. */
     public boolean isExhausted() {
         return takenBytes.get() >= limitBytes;
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -1,5 +1,6 @@
 package lupinvalve.net;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -74,6 +75,10 @@
      */
     private static final int JOIN_BELOW_BYTES = 16 << 10;
 
+    /** Messages that are passed to the handler at once. */
+    private static final int MESSAGES_PER_CALL_COUNT = 8;
+    /** Memory of a message that waits for the core, beside its bytes. */
+    private static final int MESSAGE_OVERHEAD_BYTES = 32;
     /** Input of one connection that may wait in the core's queue; reading pauses above it. */
     private static final int QUEUED_MAX_BYTES = 256 << 10;
     /** A connection always gets a buffer of this size, whatever others have sent, and keeps it while it is open. */
@@ -93,6 +98,7 @@
     private static final RepeatedWarnings WARNINGS = new RepeatedWarnings();
 
     private final EventLoop loop;
+    private final EventLoop.Source source = new EventLoop.Source(this);
     private final LinkBudgets budgets;
     private final boolean urgent;
     private final Framer framer;
@@ -120,6 +126,10 @@
     private long bytesReadAtRetire = -1;
 
     private final AtomicInteger queuedBytes = new AtomicInteger();
+    /** Input that waits until the client has read answers; core thread. */
+    private final ArrayDeque<Delivery> heldDeliveries = new ArrayDeque<>(0);
+
+    private boolean isHeldDeliveryPosted;
     /** Whether the core has paused reading. */
     private volatile boolean readingPaused;
 
@@ -169,7 +179,7 @@
         this.framer = framer;
         this.events = events;
         createdAt = loop.now();
-        outbound = new Outbound(loop, budgets.output(), () -> abort(EndReason.READS_TOO_SLOWLY));
+        outbound = new Outbound(loop, source, budgets.output(), () -> abort(EndReason.READS_TOO_SLOWLY));
     }
 
     // ---- MINA's threads ----
@@ -220,11 +230,11 @@
      */
     boolean defersRead(IoSession from) {
         // The endpoint list must not wait behind clients.
-        if (urgent || !budgets.unprocessedInput().isExhausted()) {
+        if (urgent || queuedBytes.get() == 0 || !budgets.unprocessedInput().isExhausted()) {
             return false;
         }
         from.suspendRead();
-        loop.post(this, this::resumeReading);
+        loop.post(source, this::resumeReading);
         return true;
     }
 
@@ -287,7 +297,7 @@
         if (urgent) {
             loop.postUrgent(work);
         } else {
-            loop.post(this, work);
+            loop.post(source, work);
         }
     }
 
@@ -341,58 +351,179 @@
         }
         long receivedAtMicros = loop.now();
         long earliestArrival = readProgress == null ? Long.MIN_VALUE : receivedAtMicros - readProgress.ageMicros();
-        String violation = malformedReason;
-        boolean endsMidMessage = violation != null || inputLength > 0;
-        budgets.unprocessedInput().add(count);
-        if (queuedBytes.addAndGet(count) > QUEUED_MAX_BYTES) {
+        boolean endsMidMessage = malformedReason != null || inputLength > 0;
+        Delivery delivery = new Delivery(
+                messages, count, receivedAtMicros, earliestArrival, written, endsMidMessage, malformedReason);
+        budgets.unprocessedInput().add(delivery.memoryBytes);
+        queuedBytes.addAndGet(delivery.memoryBytes);
+        if (isInputOverShare()) {
             // Guards the core's queue against a peer that sends faster than its messages are processed.
             from.suspendRead();
-            if (queuedBytes.get() <= QUEUED_MAX_BYTES && !readingPaused && !readingPausedForBacklog) {
+            if (!isInputOverShare() && !readingPaused && !readingPausedForBacklog) {
                 from.resumeRead();
             }
         }
-        post(() -> {
-            queuedBytes.addAndGet(-count);
-            budgets.unprocessedInput().add(-count);
-            resumeReading();
-            bytesProcessed += count;
+        post(delivery);
+    }
+
+    /** Whether more of the peer's input waits for the core than one connection may have there; any thread. */
+    private boolean isInputOverShare() {
+        int queued = queuedBytes.get();
+        return queued > 0
+                && (queued > QUEUED_MAX_BYTES || !budgets.unprocessedInput().allows(queued));
+    }
+
+    /** The messages of one read, delivered by the core thread in as many turns as they need. */
+    private final class Delivery implements Runnable {
+        private final List<byte[]> messages;
+        /** Bytes of the read. */
+        private final int count;
+        /** Memory that it takes until it is delivered. */
+        private final int memoryBytes;
+
+        private final long receivedAtMicros;
+        private final long earliestArrival;
+        /** Bytes that had been handed to the socket at the read. */
+        private final long written;
+
+        private final boolean endsMidMessage;
+        /** How the peer violated the protocol behind the messages, or null. */
+        private final String violation;
+        /** Messages delivered so far. */
+        private int delivered;
+
+        private boolean isAccounted;
+
+        Delivery(
+                List<byte[]> messages,
+                int count,
+                long receivedAtMicros,
+                long earliestArrival,
+                long written,
+                boolean endsMidMessage,
+                String violation) {
+            this.messages = messages;
+            this.count = count;
+            memoryBytes = count + messages.size() * MESSAGE_OVERHEAD_BYTES;
+            this.receivedAtMicros = receivedAtMicros;
+            this.earliestArrival = earliestArrival;
+            this.written = written;
+            this.endsMidMessage = endsMidMessage;
+            this.violation = violation;
+        }
+
+        @Override
+        public void run() {
+            if (heldDeliveries.isEmpty() || closed) {
+                deliver();
+            } else {
+                heldDeliveries.add(this);
+            }
+        }
+
+        /** Delivers what its turn allows; returns whether all has been delivered. */
+        boolean deliver() {
+            noteUse();
+            while (delivered < messages.size() && !closed) {
+                if (isInputHeld()) {
+                    heldDeliveries.addFirst(this);
+                    return false;
+                }
+                int end = Math.min(messages.size(), delivered + MESSAGES_PER_CALL_COUNT);
+                List<byte[]> next = messages.subList(delivered, end);
+                delivered = end;
+                if (end == messages.size()) {
+                    account();
+                }
+                deliverMessages(next, receivedAtMicros);
+                if (end < messages.size() && !urgent && loop.isTurnOver()) {
+                    loop.postRest(this::deliverRest);
+                    return false;
+                }
+            }
+            account();
+            if (!closed && violation != null) {
+                guarded(() -> events.malformed(Link.this, violation));
+            }
+            return true;
+        }
+
+        private void deliverRest() {
+            if (deliver()) {
+                deliverHeld();
+            }
+        }
+
+        private void noteUse() {
             if (retiring) {
                 // The client uses the connection: the read before the close has found this input, or will.
                 retiring = false;
                 endReason = null;
             }
+            bytesSentAtRead = written;
+            earliestArrivalMicros = earliestArrival;
+        }
+
+        /** Subtracts the read from what waits, as its last messages are being delivered. */
+        private void account() {
+            if (isAccounted) {
+                return;
+            }
+            isAccounted = true;
+            queuedBytes.addAndGet(-memoryBytes);
+            budgets.unprocessedInput().add(-memoryBytes);
+            bytesProcessed += count;
             if (endsMidMessage && (!hasPartialMessage || !messages.isEmpty())) {
                 partialSinceMicros = receivedAtMicros;
             }
             hasPartialMessage = endsMidMessage;
-            bytesSentAtRead = written;
-            earliestArrivalMicros = earliestArrival;
-            deliver(messages, receivedAtMicros, violation);
-        });
+            resumeReading();
+        }
+    }
+
+    private void deliverMessages(List<byte[]> messages, long receivedAtMicros) {
+        bytesSubmittedAtMessages = outbound.bytesSubmitted();
+        guarded(() -> events.messages(this, messages, receivedAtMicros));
     }
 
-    /** Delivers what was read. If the handler fails no answer will follow, so the connection is reset. */
-    private void deliver(List<byte[]> messages, long receivedAtMicros, String why) {
+    /** Runs a handler. If it fails no answer will follow, so the connection is reset. */
+    private void guarded(Runnable handler) {
         try {
-            bytesSubmittedAtMessages = messages.isEmpty() ? bytesSubmittedAtMessages : outbound.bytesSubmitted();
-            if (!closed && !messages.isEmpty()) {
-                events.messages(this, messages, receivedAtMicros);
-            }
-            if (!closed && why != null) {
-                events.malformed(this, why);
-            }
+            handler.run();
         } catch (RuntimeException | Error e) {
             Log.failure("connection", e);
             abort(EndReason.FAULT);
         }
     }
 
+    /** Whether the core is not to get more of a client's input now, though it has been read; core thread. */
+    private boolean isInputHeld() {
+        return !dialled && (readingPaused || readingPausedForBacklog);
+    }
+
+    /** Delivers input that was held back, in order; core thread. */
+    private void deliverHeld() {
+        while (!heldDeliveries.isEmpty() && (closed || !isInputHeld())) {
+            Delivery first = heldDeliveries.poll();
+            if (!first.deliver()) {
+                return;
+            }
+        }
+    }
+
     /** Resumes reading if no reason to pause it is left; core thread. */
     private void resumeReading() {
+        if (!closed && !heldDeliveries.isEmpty() && !isInputHeld() && !isHeldDeliveryPosted) {
+            isHeldDeliveryPosted = true;
+            loop.post(source, () -> {
+                isHeldDeliveryPosted = false;
+                deliverHeld();
+            });
+        }
         if (!closed
                 && !readingPaused
                 && !readingPausedForBacklog
-                && queuedBytes.get() <= QUEUED_MAX_BYTES
+                && !isInputOverShare()
                 && session != null
                 && session.isReadSuspended()
                 && !isReadingStopped()) {
@@ -426,7 +557,7 @@
     private void resumeReadingIfDrained(IoSession to) {
         if (readingPausedForBacklog && to.getScheduledWriteBytes() <= Outbound.FULL_BYTES / 2) {
             readingPausedForBacklog = false;
-            loop.post(this, this::resumeReading);
+            loop.post(source, this::resumeReading);
         }
     }
 
@@ -469,6 +600,8 @@
             closed = true;
             events.closed(this);
         }
+        // What it had sent is dropped and no longer counted.
+        deliverHeld();
     }
 
     /** Whether the connection has ended; {@link Events#closed} may still wait in the core's queue. Any thread. */
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -175,8 +175,10 @@
         private final Queue<NioSession> pendingCloses = new ConcurrentLinkedQueue<>();
         /** Which connections took the thread's time, for the log. */
         private final TimeUsage usage = new TimeUsage(nowMicros());
-        /** When the last wait for the sockets ended. */
-        private long turnStartMicros = nowMicros();
+
+        private static final long NO_TURN = Long.MAX_VALUE;
+        /** When the last wait for the sockets ended; {@link #NO_TURN} before the first. */
+        private long turnStartMicros = NO_TURN;
 
         /** Runs on one of {@code threads}. */
         public Processor(Executor threads) {
@@ -212,7 +214,7 @@
         /** Ends a turn of the thread: each socket waits for one at most. */
         private void endTurn() {
             long now = nowMicros();
-            usage.waited(now - turnStartMicros);
+            usage.waited(Math.max(0, now - turnStartMicros));
             if (usage.isPeriodOver(now)) {
                 String text = usage.take(now);
                 if (!text.isEmpty()) {
--- a/net/src/main/java/lupinvalve/net/Outbound.java
+++ b/net/src/main/java/lupinvalve/net/Outbound.java
@@ -17,6 +17,7 @@
     private static final long CHECK_MICROS = 3_000_000;
 
     private final EventLoop loop;
+    private final EventLoop.Source source;
     private final PendingOutputCharge charge;
     private final Runnable onStalled;
     private IoSession session;
@@ -37,11 +38,13 @@
     private boolean isWatched;
 
     /**
+     * @param source of the connection's tasks
      * @param meter counts the memory of what is pending
      * @param onStalled ends the connection of a peer that reads nothing
      */
-    Outbound(EventLoop loop, OutputMeter meter, Runnable onStalled) {
+    Outbound(EventLoop loop, EventLoop.Source source, OutputMeter meter, Runnable onStalled) {
         this.loop = loop;
+        this.source = source;
         charge = new PendingOutputCharge(meter);
         this.onStalled = onStalled;
     }
@@ -102,7 +105,7 @@
         Runnable then = onDrained;
         if (then != null && to.getScheduledWriteBytes() <= drainThresholdBytes) {
             onDrained = null;
-            loop.post(then);
+            loop.post(source, then);
         }
     }
 
