Join a turn's small answers into one write, and bound what a turn reads of a client

What callers saw: answers seconds late, new connections to idle db nodes given up (NOT_CONNECTED), fair requests refused by the dozen, while six clients sent empty statements, asked for TLS or sent COM_PING.

Cause: each answer of 11 bytes was a write request and a system call of its own on the one thread of all sockets. Every hop of a usual request, its read, the db node's connection, the node's answer and its own, waits for such a turn.

A turn of the sockets' thread reads 16 KB of a client at most, not 64.

--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -1,5 +1,6 @@
 package lupinvalve.net;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -148,6 +149,10 @@
     // Used by the core thread.
     private IoSession session;
     private final Outbound outbound;
+    /** Small parts written in this turn of the core that have not been handed to the socket's thread; null for none. */
+    private ByteArrayOutputStream joined;
+
+    private boolean isFlushDue;
     private long bytesProcessed;
     private long partialSinceMicros;
     private boolean hasPartialMessage;
@@ -654,8 +659,8 @@
             if (i == parts.length || parts[i].length >= JOIN_BELOW_BYTES) {
                 writeJoined(parts, from, i);
                 if (i < parts.length) {
-                    outbound.onSubmit(parts[i].length);
-                    session.write(IoBuffer.wrap(parts[i]));
+                    flushJoined();
+                    submit(parts[i]);
                 }
                 from = i + 1;
             }
@@ -694,7 +699,7 @@
 
     /** Bytes written that have not been handed to the socket yet, as the peer does not read; core thread. */
     public long pendingWriteBytes() {
-        return closed ? 0 : outbound.pendingBytes();
+        return closed ? 0 : outbound.pendingBytes() + joinedBytes();
     }
 
     /** Whether more is pending than a peer leaves that reads at once; core thread. */
@@ -715,19 +720,42 @@
         outbound.whenPendingAtMost(bytes, then);
     }
 
+    /**
+     * Writes small parts in one buffer. To a client, the buffer is handed to the socket's thread when the core's turn
+     * ends: a client that sends many small commands at once would otherwise cost that thread a system call for each
+     * answer.
+     */
     private void writeJoined(byte[][] parts, int from, int to) {
-        int size = 0;
         for (int i = from; i < to; i++) {
-            size += parts[i].length;
+            joined = joined == null ? new ByteArrayOutputStream() : joined;
+            joined.writeBytes(parts[i]);
+        }
+        if (dialled || joinedBytes() >= JOIN_BELOW_BYTES) {
+            flushJoined();
+        } else if (!isFlushDue && joined != null) {
+            isFlushDue = true;
+            loop.runAtTurnEnd(() -> {
+                isFlushDue = false;
+                flushJoined();
+            });
         }
-        if (size > 0) {
-            IoBuffer buffer = IoBuffer.allocate(size);
-            for (int i = from; i < to; i++) {
-                buffer.put(parts[i]);
-            }
-            outbound.onSubmit(size);
-            session.write(buffer.flip());
+    }
+
+    /** Hands what has been joined to the socket's thread. */
+    private void flushJoined() {
+        if (joined != null && !closed && session != null) {
+            submit(joined.toByteArray());
         }
+        joined = null;
+    }
+
+    private int joinedBytes() {
+        return joined == null ? 0 : joined.size();
+    }
+
+    private void submit(byte[] bytes) {
+        outbound.onSubmit(bytes.length);
+        session.write(IoBuffer.wrap(bytes));
     }
 
     /** Whether bytes have been read beyond the messages that are being delivered; core thread. */
@@ -810,6 +838,7 @@
      * @return whether the connection has ended, is reset, or its close has been requested
      */
     public boolean retire(long patienceMicros, EndReason reason) {
+        flushJoined();
         long now = loop.now();
         if (closed || session == null || retiring) {
             return closed || retiring;
@@ -847,6 +876,7 @@
      * stayed unread, or if it does not read the rest in time. Core thread.
      */
     public void finish() {
+        flushJoined();
         closed = true;
         if (session != null) {
             // First pause reading: a selector that still watches a socket that may not be read would return without a
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -51,6 +51,10 @@
     private static final AttributeKey LINK = new AttributeKey(Net.class, "link");
     private static final int ACCEPT_BACKLOG = 512;
     private static final int READ_BUFFER_MIN_BYTES = 4096;
+    /** What one turn of the thread reads of a connection that this process has opened. */
+    private static final int DIALLED_READ_MAX_BYTES = 64 << 10;
+    /** What one turn of the thread reads of an accepted connection: all others wait for it. */
+    private static final int ACCEPTED_READ_MAX_BYTES = 16 << 10;
     /** Attempts to open a port. */
     private static final int BIND_TRIES = 20;
     /** The pause between two of them. */
@@ -118,7 +122,7 @@
         readProgress = urgent ? new ReadProgress(threads) : null;
         processor = urgent ? readProgress : new Processor(threads);
         connector = new NioSocketConnector(threads, processor);
-        configure(connector.getSessionConfig());
+        configure(connector.getSessionConfig(), DIALLED_READ_MAX_BYTES);
         if (security != null) {
             connector.getFilterChain().addLast(SECURITY, security.filter(true));
         }
@@ -318,10 +322,10 @@
         }
     }
 
-    private static void configure(SocketSessionConfig config) {
+    private static void configure(SocketSessionConfig config, int maxReadBytes) {
         config.setTcpNoDelay(true);
         config.setReadBufferSize(READ_BUFFER_MIN_BYTES);
-        config.setMaxReadBufferSize(65536);
+        config.setMaxReadBufferSize(maxReadBytes);
     }
 
     /** A port that is listened on. */
@@ -377,7 +381,7 @@
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(ACCEPT_BACKLOG);
         acceptor.setCloseOnDeactivation(false);
-        configure(acceptor.getSessionConfig());
+        configure(acceptor.getSessionConfig(), ACCEPTED_READ_MAX_BYTES);
         if (security != null) {
             acceptor.getFilterChain().addLast(SECURITY, security.filter(false));
         }
