Let debts outlast a pause, and let ever new connections starve nobody

Cause: a flow of FairQueue whose last task had cost more than its quantum paid its debt at once where it was alone, and a flow that was empty waited out a turn in the list of the others, so thousands of ever new ones kept those from their turn.

Change: an empty flow leaves its list before it is asked for debts, and one eighth of the time that it has no task is forgiven.

--- a/maintenance/src/main/java/lupinvalve/maintenance/FairQueue.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/FairQueue.java
@@ -3,11 +3,11 @@
 import java.util.ArrayDeque;
 
 /**
- * Orders the tasks of many flows for one thread, so that none waits for what another one sends: deficit round robin
- * with priority for sparse flows, as in RFC 8290, where the cost of a task is the time that it took. A flow that has
- * had its quantum waits until the others have had theirs. One that sends so little that it never uses up its quantum
- * goes first; flows that wait get a quantum each time such flows have taken {@link #SPARSE_BURST_MICROS} in a row. A
- * flow that comes back after a pause still owes the time that it took beyond its quantum, less the length of the pause.
+ * Orders the tasks of many flows for one thread, so that none waits for what another one sends: deficit round robin in
+ * which the cost of a task is the time that it took, with priority for sparse flows (compare RFC 8290). A flow that has
+ * had its quantum waits until the others have had theirs, and what it took beyond its quantum it owes. A flow without
+ * debt, such as one that sends little, goes first, for {@link #SPARSE_BURST_MICROS} in a row while others wait. Debts
+ * are forgiven at a fraction of the time that passes while a flow has no task.
  *
  * <p>No I/O; the time is an argument. Not thread-safe.
  *
@@ -20,6 +20,9 @@
     /** The time that sparse flows may take in a row while other flows wait. */
     public static final long SPARSE_BURST_MICROS = 2_000;
 
+    /** Of the time that a flow has no task, the part of which is forgiven is one in this many. */
+    private static final int FORGIVENESS_DIVISOR = 8;
+
     /** Time that is charged for a task at least: the clock does not resolve shorter ones. */
     private static final long MIN_COST_MICROS = 1;
 
@@ -55,7 +58,9 @@
             return;
         }
         flow.isListed = true;
-        flow.creditMicros = Math.min(QUANTUM_MICROS, flow.creditMicros + Math.max(0, nowMicros - flow.chargedAtMicros));
+        flow.creditMicros = Math.min(
+                QUANTUM_MICROS,
+                flow.creditMicros + Math.max(0, nowMicros - flow.chargedAtMicros) / FORGIVENESS_DIVISOR);
         (flow.creditMicros > 0 ? sparse : backlogged).add(flow);
     }
 
@@ -74,36 +79,23 @@
             if (flow == null) {
                 return null;
             }
+            if (flow.tasks.isEmpty()) {
+                list.poll();
+                flow.isListed = false;
+                continue;
+            }
             if (flow.creditMicros <= 0) {
                 list.poll();
                 flow.creditMicros += QUANTUM_MICROS;
                 backlogged.add(flow);
+                // A debtor's turn has come, though all it does with it is to pay.
                 sparseMicros = isSparseNext ? sparseMicros : 0;
                 continue;
             }
-            T task = flow.tasks.poll();
-            if (task == null) {
-                list.poll();
-                retire(flow, isSparseNext);
-                continue;
-            }
             size--;
             current = flow;
             isCurrentSparse = isSparseNext;
-            return task;
-        }
-    }
-
-    /**
-     * Handles a flow without tasks. A sparse one waits out the turn of the others, or else one that adds a task
-     * whenever it has none would be sparse for good.
-     */
-    private void retire(Flow<T> flow, boolean wasSparse) {
-        if (wasSparse && !backlogged.isEmpty()) {
-            backlogged.add(flow);
-        } else {
-            flow.isListed = false;
-            sparseMicros = wasSparse ? sparseMicros : 0;
+            return flow.tasks.poll();
         }
     }
 
@@ -112,7 +104,7 @@
         long cost = Math.max(MIN_COST_MICROS, micros);
         current.creditMicros -= cost;
         current.chargedAtMicros = nowMicros;
-        sparseMicros = isCurrentSparse ? sparseMicros + cost : 0;
+        sparseMicros = isCurrentSparse && !backlogged.isEmpty() ? sparseMicros + cost : 0;
     }
 
     /** Whether a task of a flow waits that has not used up its quantum. */
