Recognise a query for system variables in linear time

One COM_QUERY of 4 KB, "select @@", 4,000 spaces and a letter, occupied the core for minutes, and with it every client of both fronts.

Cause: the pattern that recognises drivers' queries had three quantifiers that match the same spaces, so a query that does not match was tried in cubic time. No queue helps against a single task that long.

Change: the ends of the query are cut off by hand, each in one pass; what is left is split as before.

--- a/mysql/src/main/java/lupinvalve/mysql/Variables.java
+++ b/mysql/src/main/java/lupinvalve/mysql/Variables.java
@@ -12,8 +12,13 @@
  * nothing else. The values describe the pooler's own MySQL endpoint, not a db node.
  */
 final class Variables {
-    private static final Pattern VARIABLES_QUERY =
-            Pattern.compile("(?is)\\s*(?:/\\*.*?\\*/\\s*)?select\\s+(@@.+?)(?:\\s+limit\\s+1)?\\s*;?\\s*");
+    private static final int MAX_QUERY_CHARS = 4096;
+    private static final String SELECT = "select";
+    private static final String VARIABLE_PREFIX = "@@";
+    private static final String LIMIT = "limit";
+    private static final String LIMIT_COUNT = "1";
+    private static final String COMMENT_START = "/*";
+    private static final String COMMENT_END = "*/";
     private static final Pattern VARIABLE_ITEM =
             Pattern.compile("(?i)@@(?:session\\.|global\\.)?(\\w+)(?:\\s+as\\s+(\\w+))?");
     private static final Map<String, String> VALUES = Map.ofEntries(
@@ -50,12 +55,12 @@
      * @param deprecateEof whether the client has the DEPRECATE_EOF capability
      */
     static byte[][] answer(String query, boolean deprecateEof, long capabilities) {
-        Matcher matcher = VARIABLES_QUERY.matcher(query);
-        if (query.length() > 4096 || !matcher.matches()) {
+        String list = query.length() > MAX_QUERY_CHARS ? null : variables(query);
+        if (list == null) {
             return null;
         }
         List<byte[]> packets = new ArrayList<>();
-        String[] items = matcher.group(1).split(",");
+        String[] items = list.split(",");
         int sequence = 1;
         packets.add(new PacketWriter().lengthEncodedInt(items.length).packet(sequence++));
         PacketWriter row = new PacketWriter();
@@ -85,6 +90,47 @@
         return packets.toArray(new byte[0][]);
     }
 
+    /** The list of variables in a query for nothing else; null for any other query. Takes linear time for any input. */
+    private static String variables(String query) {
+        String text = withoutEnd(query.strip(), ";");
+        if (text.startsWith(COMMENT_START)) {
+            int end = text.indexOf(COMMENT_END, COMMENT_START.length());
+            text = end < 0 ? "" : text.substring(end + COMMENT_END.length()).stripLeading();
+        }
+        if (!text.regionMatches(true, 0, SELECT, 0, SELECT.length())) {
+            return null;
+        }
+        String behindSelect = text.substring(SELECT.length());
+        String list = withoutLimit(behindSelect.strip());
+        boolean isSeparated =
+                behindSelect.length() > behindSelect.stripLeading().length();
+        return isSeparated && list.startsWith(VARIABLE_PREFIX) && list.length() > VARIABLE_PREFIX.length()
+                ? list
+                : null;
+    }
+
+    /** Removes {@code LIMIT 1} from the end of a list, if it stands there. */
+    private static String withoutLimit(String list) {
+        String beforeCount = withoutEnd(list, LIMIT_COUNT);
+        String beforeLimit = withoutEnd(beforeCount, LIMIT);
+        boolean isLimit =
+                isCutBehindSpace(list, beforeCount, LIMIT_COUNT) && isCutBehindSpace(beforeCount, beforeLimit, LIMIT);
+        return isLimit ? beforeLimit : list;
+    }
+
+    /** Whether a word was cut from the end of a text, with white space before it. */
+    private static boolean isCutBehindSpace(String text, String cut, String word) {
+        return cut.length() < text.length() - word.length();
+    }
+
+    /** A text without the word at its end, if it stands there in any case, and without white space before that. */
+    private static String withoutEnd(String text, String word) {
+        int start = text.length() - word.length();
+        return start >= 0 && text.regionMatches(true, start, word, 0, word.length())
+                ? text.substring(0, start).stripTrailing()
+                : text;
+    }
+
     /** A column definition packet for a column of strings. */
     static PacketWriter columnDefinition(String name) {
         return new PacketWriter()
