Keep only the fields of a statement that are read, and bound the keys of sessions

What callers saw: a process over its memory limit where many clients send heads of very many short fields.

Cause: each name and value of a statement's comment became two strings and an entry of a table, some 130 bytes for 5, as long as the request was open; the memory for commands counted the text alone. A session's key, kept for 50,000 sessions after their requests, was as long as a client made its first literal, up to 1 MB.

Change: of the names only those that are read are kept, and the others make no objects. Of a key over 64 characters a digest is kept.

Measured: both new tests of CoreTest fail without the change (the first by its value of x7, the second by a key of 100,000 characters).

--- a/core/src/main/java/lupinvalve/core/Statement.java
+++ b/core/src/main/java/lupinvalve/core/Statement.java
@@ -3,10 +3,16 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import lupinvalve.routing.RequestClass;
 
 /**
@@ -16,13 +22,18 @@
  * value of {@code d} is replaced. Not thread-safe.
  */
 public final class Statement {
+    /** The fields that are read; a statement may have any number of others, which are not kept. */
+    private static final Map<String, byte[]> FIELD_NAMES = Stream.of("id", "c", "cluster", "d", "r", "after")
+            .collect(Collectors.toMap(n -> n, n -> n.getBytes(UTF_8)));
+
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
     private static final int MAX_ID_CHARS = 128;
+    private static final int MAX_SESSION_KEY_CHARS = 64;
     private static final int NONE = -1;
     private static final long MICROS_PER_MILLI = 1000;
 
     private final byte[] text;
-    private final Map<String, String> fields = new HashMap<>();
+    private final Map<String, String> fields = new HashMap<>(FIELD_NAMES.size() * 2);
     /** Where the value of the timeout starts in the text, or {@link #NONE}. */
     private int timeoutStart = NONE;
 
@@ -68,7 +79,10 @@
     }
 
     private void readField(int start, int equals, int end) {
-        String name = new String(text, start, equals - start, UTF_8).strip();
+        String name = fieldName(start, equals);
+        if (name == null) {
+            return;
+        }
         fields.put(name, new String(text, equals + 1, end - equals - 1, UTF_8).strip());
         if (name.equals("d")) {
             timeoutStart = equals + 1;
@@ -79,12 +93,33 @@
         }
     }
 
+    /** The name between two places of the text, without white space around it; null if it is none that is read. */
+    private String fieldName(int from, int to) {
+        int start = from;
+        int end = to;
+        while (start < end && text[start] >= 0 && text[start] <= ' ') {
+            start++;
+        }
+        while (end > start && text[end - 1] >= 0 && text[end - 1] <= ' ') {
+            end--;
+        }
+        for (Map.Entry<String, byte[]> name : FIELD_NAMES.entrySet()) {
+            byte[] bytes = name.getValue();
+            if (Arrays.equals(text, start, end, bytes, 0, bytes.length)) {
+                return name.getKey();
+            }
+        }
+        return null;
+    }
+
     /** Sets a field sent outside the text, such as a query attribute; it overrides the field in the comment. */
     public void set(String name, String value) {
-        fields.put(name, value);
+        if (FIELD_NAMES.containsKey(name)) {
+            fields.put(name, value);
+        }
     }
 
-    /** A field's value, or null. */
+    /** The value of a field that is read, or null. */
     public String field(String name) {
         return fields.get(name);
     }
@@ -94,8 +129,28 @@
         return text.length;
     }
 
-    /** The first quoted literal, which is the session's key, or null if there is none. */
+    /**
+     * The session's key: the first quoted literal, or a digest of it if it is long; null if there is none. Keys are
+     * kept after the request has ended, so clients must not choose their length.
+     */
     public String sessionKey() {
+        return bounded(firstLiteral());
+    }
+
+    private static String bounded(String key) {
+        return key == null || key.length() <= MAX_SESSION_KEY_CHARS ? key : digest(key);
+    }
+
+    private static String digest(String text) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(text.getBytes(UTF_8));
+            return Base64.getEncoder().encodeToString(hash);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private String firstLiteral() {
         int start = indexOf('\'', 0, text.length) + 1;
         int end = start;
         while (end < text.length && (text[end] != '\'' || end + 1 < text.length && text[end + 1] == '\'')) {
@@ -148,7 +203,7 @@
                 id,
                 classIndex,
                 "1".equals(fields.get("r")),
-                session != null ? session : sessionKey(),
+                session != null ? bounded(session) : sessionKey(),
                 Math.max(0, number("after")) * MICROS_PER_MILLI,
                 (int) group,
                 arrivedAtMicros,
--- a/core/src/test/java/lupinvalve/core/CoreTest.java
+++ b/core/src/test/java/lupinvalve/core/CoreTest.java
@@ -65,6 +65,35 @@
         loop.stop();
     }
 
+    /** Guards against statements of very many short fields, each of which took a hundred times its bytes of memory. */
+    @Test
+    void fieldsThatAreNotReadAreNotKept() {
+        StringBuilder fields = new StringBuilder();
+        for (int i = 0; i < 100_000; i++) {
+            fields.append('x').append(i).append("=,");
+        }
+        Statement statement =
+                new Statement(("SELECT 1 /* " + fields + " id =9, c=y,d=5*/").getBytes(StandardCharsets.UTF_8));
+        assertEquals("9", statement.field("id"));
+        assertEquals("y", statement.field("c"));
+        assertNull(statement.field("x7"));
+        statement.set("x8", "1");
+        assertNull(statement.field("x8"));
+        statement.set("c", "z");
+        assertEquals("z", statement.field("c"));
+    }
+
+    /** Guards against clients that choose how much is kept of their sessions. */
+    @Test
+    void longSessionKeysAreKeptAsDigests() {
+        String key = "k".repeat(100_000);
+        String kept = new Statement(("SELECT '" + key + "'").getBytes(StandardCharsets.UTF_8)).sessionKey();
+        String other = new Statement(("SELECT '" + key + "l'").getBytes(StandardCharsets.UTF_8)).sessionKey();
+        assertTrue(kept.length() <= 64, kept);
+        assertFalse(kept.equals(other));
+        assertEquals(kept, new Statement(("SELECT '" + key + "'").getBytes(StandardCharsets.UTF_8)).sessionKey());
+    }
+
     @Test
     void a_statement_keeps_its_bytes_except_for_the_timeout() {
         String text = "INSERT INTO rows VALUES ('it''s', '\\x00') /* d=1 */ RETURNING blob /* id=9,d=480 , c=x */";
