Bound each client's share of memory for answers and commands, and of pending requests

What callers saw: beside a flood, requests that fit the limits were refused by the hundred or answered as failed.

Cause: each budget was one heap for all clients. A MySQL client that violated the protocol behind a million rejected commands got as many errors in one task.

Change: FairShare decides for all of them: each client has a guaranteed part, and beyond it may hold no more than is free (4 KiB of statements, 64 KiB of unread answers, one place). A client over its share is not read on, its answers wait; only its own requests are refused. Rejected MySQL commands stop the reading at 1,024, and are answered a turn at a time.

The drill's clients no longer repeat the ids of its warm-up, and count an error at the login as the answer it is.

--- a/core/src/main/java/lupinvalve/core/HandleTable.java
+++ b/core/src/main/java/lupinvalve/core/HandleTable.java
@@ -40,6 +40,11 @@
         return size >= capacity;
     }
 
+    /** Maximum number of entries. */
+    public int capacity() {
+        return capacity;
+    }
+
     /** Entries in the table. */
     public int size() {
         return size;
--- a/drills/src/main/java/lupinvalve/drills/DeadlineClients.java
+++ b/drills/src/main/java/lupinvalve/drills/DeadlineClients.java
@@ -27,17 +27,20 @@
     private static final int JOIN_MILLIS = 2 * SILENCE_MILLIS;
 
     private final int port;
+    private final long seed;
     private final FloodResult.Recorder recorder;
     private final AtomicLong lastId = new AtomicLong();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean over;
 
-    DeadlineClients(int port, FloodResult.Recorder recorder) {
+    /** @param seed selects deadlines and rests, and is a part of the requests' ids */
+    DeadlineClients(int port, FloodResult.Recorder recorder, long seed) {
         this.port = port;
+        this.seed = seed;
         this.recorder = recorder;
     }
 
-    void start(int count, long seed) {
+    void start(int count) {
         for (int i = 0; i < count; i++) {
             boolean keepsConnection = i % 2 == 0;
             Random random = new Random(seed * 31 + i);
@@ -76,6 +79,8 @@
             if (keepsConnection) {
                 return connection;
             }
+        } catch (SqlConnection.RefusedException e) {
+            record(new SqlConnection.Answer(null, e.code), sentNanos, deadlineMillis);
         } catch (SocketTimeoutException | EOFException e) {
             recorder.lost(e.toString(), micros(sentNanos));
         } catch (IOException e) {
@@ -108,13 +113,14 @@
     }
 
     private String statement(Random random, int deadlineMillis) {
-        long id = lastId.incrementAndGet();
+        long number = lastId.incrementAndGet();
+        String id = "u" + seed + "-" + number;
         boolean write = random.nextInt(WRITE_ONE_IN) == 0;
         return (write
-                        ? "INSERT INTO rows (handle, blob) VALUES ('u" + id + "', '\\x9f') RETURNING blob"
-                        : "SELECT blob FROM rows WHERE handle = 'u" + id + "'")
-                + " /* id=u" + id + ",c=" + (write ? "pickup-booking" : "own-order-view")
-                + ",t=almaty-branch,d=" + deadlineMillis + ",cluster=" + id % FloodDrill.GROUPS + " */";
+                        ? "INSERT INTO rows (handle, blob) VALUES ('" + id + "', '\\x9f') RETURNING blob"
+                        : "SELECT blob FROM rows WHERE handle = '" + id + "'")
+                + " /* id=" + id + ",c=" + (write ? "pickup-booking" : "own-order-view")
+                + ",t=almaty-branch,d=" + deadlineMillis + ",cluster=" + number % FloodDrill.GROUPS + " */";
     }
 
     void stop() throws InterruptedException {
--- a/drills/src/main/java/lupinvalve/drills/FloodClient.java
+++ b/drills/src/main/java/lupinvalve/drills/FloodClient.java
@@ -16,6 +16,8 @@
     private static final int JOIN_MILLIS = 5_000;
     private static final int READ_BYTES = 64 << 10;
     private static final long RECONNECT_MILLIS = 2;
+    private static final int SLOW_BYTES = 2_000;
+    private static final long SLOW_REST_MILLIS = 100;
     private static final byte READY_FOR_QUERY = 'Z';
 
     private final FloodKind kind;
@@ -63,6 +65,11 @@
                 readAnswer(socket.getInputStream());
             }
             case IN_TURNS -> sendInTurns(socket);
+            case WRITE_AND_STAY -> {
+                socket.setSoTimeout(0);
+                write(socket, kind.block());
+                drain(socket, READ_BYTES, 0);
+            }
             default -> stay(socket);
         }
     }
@@ -97,7 +104,10 @@
     private void stay(Socket socket) throws IOException {
         socket.setSoTimeout(0);
         if (kind.use() != FloodKind.Use.STAY_UNREAD) {
-            Threads.start("flood reader", () -> drain(socket));
+            boolean isSlow = kind.use() == FloodKind.Use.STAY_SLOW_READING;
+            Threads.start(
+                    "flood reader",
+                    () -> drain(socket, isSlow ? SLOW_BYTES : READ_BYTES, isSlow ? SLOW_REST_MILLIS : 0));
         }
         OutputStream out = socket.getOutputStream();
         byte[] block = kind.block();
@@ -107,19 +117,39 @@
                     out.write(block[i]);
                 }
                 bytesSent.addAndGet(block.length);
+            } else if (kind.use() == FloodKind.Use.STAY_SLOW_WRITING) {
+                writeSlowly(out, block);
             } else {
                 write(socket, block);
-                block = kind == FloodKind.SOUND ? kind.block() : block;
+                block = kind.isRenewed() ? kind.block() : block;
             }
         }
     }
 
-    private static void drain(Socket socket) throws IOException {
+    private void writeSlowly(OutputStream out, byte[] block) throws IOException {
+        for (int i = 0; i < block.length && !over; i += SLOW_BYTES) {
+            out.write(block, i, Math.min(SLOW_BYTES, block.length - i));
+            rest(SLOW_REST_MILLIS);
+        }
+        bytesSent.addAndGet(block.length);
+    }
+
+    private static void drain(Socket socket, int pieceBytes, long restMillis) throws IOException {
         InputStream in = socket.getInputStream();
-        byte[] bytes = new byte[READ_BYTES];
+        byte[] bytes = new byte[pieceBytes];
         int count = 0;
         while (count >= 0) {
             count = in.read(bytes);
+            rest(restMillis);
+        }
+    }
+
+    private static void rest(long millis) throws IOException {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new java.io.InterruptedIOException();
         }
     }
 
--- a/drills/src/main/java/lupinvalve/drills/FloodDrill.java
+++ b/drills/src/main/java/lupinvalve/drills/FloodDrill.java
@@ -146,12 +146,12 @@
     /** Runs usual clients, and the flood beside them, and returns how the usual clients fared. */
     public FloodResult play() throws IOException, InterruptedException {
         FloodResult.Recorder warmUp = new FloodResult.Recorder();
-        DeadlineClients first = new DeadlineClients(pgPort, warmUp);
-        first.start(setting.usualClients(), setting.seed() - 1);
+        DeadlineClients first = new DeadlineClients(pgPort, warmUp, setting.seed() - 1);
+        first.start(setting.usualClients());
         Thread.sleep(WARM_UP_MILLIS);
         first.stop();
         FloodResult.Recorder recorder = new FloodResult.Recorder();
-        DeadlineClients usual = new DeadlineClients(pgPort, recorder);
+        DeadlineClients usual = new DeadlineClients(pgPort, recorder, setting.seed());
         AtomicLong bytes = new AtomicLong();
         AtomicLong connections = new AtomicLong();
         List<FloodClient> flood = new ArrayList<>();
@@ -159,7 +159,7 @@
         for (int i = 0; i < (setting.kind() == FloodKind.NONE ? 0 : setting.floodClients()); i++) {
             flood.add(new FloodClient(setting.kind(), port, bytes, connections));
         }
-        usual.start(setting.usualClients(), setting.seed());
+        usual.start(setting.usualClients());
         Thread.sleep(TimeUnit.SECONDS.toMillis(setting.seconds()));
         for (FloodClient client : flood) {
             client.stop();
--- a/drills/src/main/java/lupinvalve/drills/FloodKind.java
+++ b/drills/src/main/java/lupinvalve/drills/FloodKind.java
@@ -6,6 +6,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
@@ -35,6 +36,14 @@
     SAME_ID(Front.PG, Use.STAY),
     /** Statements with very many short fields. */
     FIELDS(Front.PG, Use.STAY),
+    /** Valid reads with very many short fields. */
+    FIELDS_SOUND(Front.PG, Use.STAY),
+    /** Half of a large statement, then nothing. */
+    HALF(Front.PG, Use.WRITE_AND_STAY),
+    /** A large statement, written slowly. */
+    SLOW_WRITE(Front.PG, Use.STAY_SLOW_WRITING),
+    /** Valid reads of long values, sixteen at a time, read slowly. */
+    SLOW_READ(Front.PG, Use.STAY_SLOW_READING),
     /** Large statements without fields. */
     LARGE(Front.PG, Use.STAY),
     /** Empty statements, written byte by byte. */
@@ -57,6 +66,8 @@
     MYSQL_EMPTY(Front.MYSQL, Use.STAY),
     /** COM_QUERY without fields. */
     MYSQL_UNSOUND(Front.MYSQL, Use.STAY),
+    /** Queries that look for a long time like one for system variables. */
+    MYSQL_VARIABLES(Front.MYSQL, Use.STAY),
     /** COM_STMT_PREPARE, ever new ones. */
     MYSQL_PREPARE(Front.MYSQL, Use.STAY),
     /** COM_STMT_SEND_LONG_DATA for a statement that does not exist, which has no answer. */
@@ -80,6 +91,12 @@
         STAY_WITHOUT_LOGIN,
         /** As STAY, with a write for each byte. */
         STAY_BYTEWISE,
+        /** Logs in, writes once, and reads until the pooler ends the connection. */
+        WRITE_AND_STAY,
+        /** As STAY, with a few bytes and a rest in each write. */
+        STAY_SLOW_WRITING,
+        /** As STAY, with a few bytes and a rest in each read. */
+        STAY_SLOW_READING,
         /** Logs in, then writes a batch and reads its answers, in turns. */
         IN_TURNS,
         /** Connects, writes once, reads until the pooler has answered, and closes; again at once. */
@@ -91,6 +108,8 @@
     private static final int BLOCK_BYTES = 64 << 10;
     private static final int LARGE_BYTES = 900 << 10;
     private static final int FIELDS_COUNT = 180_000;
+    private static final int VARIABLES_SPACES = 4_000;
+    private static final int LONG_VALUE_BYTES = 60_000;
     private static final int STATEMENTS_AT_ONCE = 16;
     private static final int LEAVING_STATEMENTS = 400;
     private static final int TLS_REQUEST_CODE = 80877103;
@@ -124,7 +143,12 @@
 
     /** Whether its connections get past the login before the flood. */
     boolean logsIn() {
-        return use == Use.STAY || use == Use.STAY_UNREAD || use == Use.STAY_BYTEWISE || use == Use.IN_TURNS;
+        return use != Use.STAY_WITHOUT_LOGIN && use != Use.COME_AND_GO && use != Use.COME_AND_LEAVE;
+    }
+
+    /** Whether each block has ids of its own. */
+    boolean isRenewed() {
+        return this == SOUND || this == FIELDS_SOUND || this == SLOW_READ;
     }
 
     /** How many answers {@link #block} has, for a client that works in turns. */
@@ -143,8 +167,13 @@
             case UNSOUND -> repeated(SqlConnection.queries(List.of("SELECT 1")));
             case SOUND, PACED -> SqlConnection.queries(reads(STATEMENTS_AT_ONCE));
             case SAME_ID -> SqlConnection.queries(Collections.nCopies(STATEMENTS_AT_ONCE, read("f0")));
+            case FIELDS_SOUND -> SqlConnection.queries(
+                    List.of(read("f" + LAST_ID.incrementAndGet()).replace("/* ", "/* " + fields() + ",")));
+            case HALF -> Arrays.copyOf(large(), LARGE_BYTES / 2);
+            case SLOW_WRITE -> large();
+            case SLOW_READ -> SqlConnection.queries(longReads());
             case FIELDS -> SqlConnection.queries(List.of("SELECT 1 /* " + fields() + " */"));
-            case LARGE -> SqlConnection.queries(List.of("SELECT '" + "x".repeat(LARGE_BYTES) + "'"));
+            case LARGE -> large();
             case CONNECT -> join(SqlConnection.startupMessage(), SqlConnection.queries(List.of("")));
             case LEAVE -> join(SqlConnection.startupMessage(), SqlConnection.queries(reads(LEAVING_STATEMENTS)));
             case MALFORMED -> join(SqlConnection.startupMessage(), new byte[] {'!', 0, 0, 0, 4});
@@ -153,6 +182,8 @@
             case MYSQL_PING -> repeated(MysqlLoginClient.packet(COM_PING, new byte[0]));
             case MYSQL_EMPTY -> repeated(MysqlLoginClient.packet(COM_QUERY, new byte[0]));
             case MYSQL_UNSOUND -> repeated(MysqlLoginClient.packet(COM_QUERY, "SELECT 1".getBytes(ISO_8859_1)));
+            case MYSQL_VARIABLES -> repeated(MysqlLoginClient.packet(
+                    COM_QUERY, ("select @@" + " ".repeat(VARIABLES_SPACES) + "x y").getBytes(ISO_8859_1)));
             case MYSQL_PREPARE -> repeated(MysqlLoginClient.packet(COM_STMT_PREPARE, "SELECT ?".getBytes(ISO_8859_1)));
             case MYSQL_LONG_DATA -> repeated(MysqlLoginClient.packet(COM_STMT_SEND_LONG_DATA, new byte[7]));
             case MYSQL_CONNECT -> MysqlLoginClient.handshakeResponse("nobody");
@@ -172,6 +203,17 @@
                 + ",c=bag-status,t=almaty-branch,d=1000,cluster=0 */";
     }
 
+    private static byte[] large() throws IOException {
+        return SqlConnection.queries(List.of("SELECT '" + "x".repeat(LARGE_BYTES) + "'"));
+    }
+
+    private static List<String> longReads() {
+        return reads(STATEMENTS_AT_ONCE).stream()
+                .map(read ->
+                        read.replaceFirst("handle = '\\w+'", "handle = '" + LongValues.key(LONG_VALUE_BYTES) + "'"))
+                .toList();
+    }
+
     private static String fields() {
         StringBuilder fields = new StringBuilder();
         for (int i = 0; i < FIELDS_COUNT; i++) {
--- a/drills/src/main/java/lupinvalve/drills/SqlConnection.java
+++ b/drills/src/main/java/lupinvalve/drills/SqlConnection.java
@@ -26,6 +26,18 @@
     private static final int CHUNK_BYTES = 16 << 10;
     private static final int SLOW_RECEIVE_BUFFER_BYTES = 16 << 10;
 
+    /** The pooler has refused a connection by an error. */
+    static final class RefusedException extends IOException {
+        private static final long serialVersionUID = 1;
+        /** The SQLSTATE of the error. */
+        final String code;
+
+        RefusedException(String code) {
+            super(code);
+            this.code = code;
+        }
+    }
+
     /** The answer to a statement: a value, or the SQLSTATE of an error. */
     record Answer(String value, String code) {}
 
@@ -146,7 +158,16 @@
         String value = null;
         String code = null;
         while (true) {
-            byte[] message = readMessage();
+            byte[] message;
+            try {
+                message = readMessage();
+            } catch (EOFException e) {
+                // After a fatal error no ReadyForQuery is needed.
+                if (code != null) {
+                    throw new RefusedException(code);
+                }
+                throw e;
+            }
             switch (message[0]) {
                 case 'D' -> value = new String(message, HEADER_BYTES + 6, message.length - HEADER_BYTES - 6, UTF_8);
                 case 'E' -> code = errorCode(message);
--- a/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
@@ -16,6 +16,9 @@
     /** What errors and other short answers, which are always written, may take beside the budget. */
     private static final double SHORT_ANSWERS_RATIO = 0.125;
 
+    /** What each client may leave unread, whatever others do: a client that reads at once leaves no more. */
+    public static final long GUARANTEED_UNREAD_BYTES = 64 << 10;
+
     private final long limitBytes;
     private final long unreadLimitBytes;
     private final AtomicLong incomingBytes = new AtomicLong();
@@ -44,12 +47,21 @@
     /**
      * Whether a complete answer may be kept until its client has read it.
      *
-     * @param hasUnread whether the client has earlier answers unread; one that has none is not denied its answer
-     *     because of other clients that read slowly
+     * @param heldBytes what the client has unread already; one that has nothing unread is not denied its answer because
+     *     of other clients that read slowly
      */
-    public boolean hasRoom(long bytes, boolean hasUnread) {
+    public boolean hasRoom(long bytes, long heldBytes) {
         long unreadThen = unreadBytes.get() + bytes;
-        return hasUnread ? unreadThen <= unreadLimitBytes : unreadThen + incomingBytes.get() <= limitBytes;
+        return heldBytes > 0
+                ? unreadThen <= unreadLimitBytes
+                        && (heldBytes + bytes <= GUARANTEED_UNREAD_BYTES || allowsUnread(heldBytes))
+                : unreadThen + incomingBytes.get() <= limitBytes;
+    }
+
+    /** Whether a client that has this much unread may have more, see {@link FairShare}. */
+    public boolean allowsUnread(long heldBytes) {
+        return FairShare.allows(
+                heldBytes, GUARANTEED_UNREAD_BYTES, unreadBytes.get(), (long) (unreadLimitBytes * NEAR_LIMIT_RATIO));
     }
 
     /** Counts bytes of answers that clients have not read; releases them if the number is negative. */
--- a/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/ByteBudget.java
@@ -4,6 +4,9 @@
 
 /** A limit on memory for one purpose, shared by all connections of a process. Safe for all threads. */
 public final class ByteBudget {
+    /** What each client may take of a budget, whatever others have taken. */
+    public static final long GUARANTEED_BYTES = 4096;
+
     private final long limitBytes;
     private final AtomicLong takenBytes = new AtomicLong();
 
@@ -21,6 +24,20 @@
         return true;
     }
 
+    /**
+     * Reserves bytes for a client within its share; false if they are not available. What each client is guaranteed is
+     * available in any case.
+     *
+     * @param heldBytes what the client holds already
+     */
+    public boolean reserve(long bytes, long heldBytes) {
+        if (heldBytes + bytes <= GUARANTEED_BYTES) {
+            add(bytes);
+            return true;
+        }
+        return allows(heldBytes) && reserve(bytes);
+    }
+
     /** Counts bytes that are kept whether they are available or not; releases them if the number is negative. */
     public void add(long bytes) {
         takenBytes.addAndGet(bytes);
@@ -28,7 +45,7 @@
 
     /** Whether a client that holds this much may take more, see {@link FairShare}. */
     public boolean allows(long heldBytes) {
-        return FairShare.allows(heldBytes, takenBytes.get(), limitBytes);
+        return FairShare.allows(heldBytes, GUARANTEED_BYTES, takenBytes.get(), limitBytes);
     }
 
     /** Whether nothing more is available. */
--- a/maintenance/src/main/java/lupinvalve/maintenance/FairShare.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/FairShare.java
@@ -1,9 +1,9 @@
 package lupinvalve.maintenance;
 
 /**
- * Decides how much of a shared space one client may hold: no more than is free now. Few clients may hold much and many
- * may hold little each, and part of the space is always left for those that hold nothing (dynamic threshold of
- * Choudhury and Hahne). For bytes of memory and for places in tables. No I/O.
+ * Decides how much of a shared space one client may hold: what is guaranteed to each, and beyond that no more than is
+ * free now. So few clients may hold much and many may hold little each, and none that holds little is refused because
+ * of others (dynamic threshold of Choudhury and Hahne). For bytes of memory and for places in tables. No I/O.
  */
 public final class FairShare {
     private FairShare() {}
@@ -12,10 +12,11 @@
      * Whether a client may take more.
      *
      * @param held what the client holds already
+     * @param guaranteed what each client may hold, whatever others hold
      * @param taken what all clients hold
-     * @param limit what all clients together may hold
+     * @param limit what all clients together may hold beside what is guaranteed
      */
-    public static boolean allows(long held, long taken, long limit) {
-        return held <= limit - taken;
+    public static boolean allows(long held, long guaranteed, long taken, long limit) {
+        return held < guaranteed || held <= limit - taken;
     }
 }
--- a/maintenance/src/test/java/lupinvalve/maintenance/MemoryBudgetsTest.java
+++ b/maintenance/src/test/java/lupinvalve/maintenance/MemoryBudgetsTest.java
@@ -24,16 +24,44 @@
     @Test
     void unreadAnswersLeaveRoomForClientsWithoutUnreadAnswers() {
         AnswerBudget answers = new AnswerBudget(9_000);
-        assertTrue(answers.hasRoom(6_000, true));
+        assertTrue(answers.hasRoom(6_000, 1));
         answers.addUnread(6_000);
         assertTrue(answers.isNearLimit());
-        assertFalse(answers.hasRoom(1, true));
-        assertTrue(answers.hasRoom(3_000, false));
-        assertFalse(answers.hasRoom(3_001, false));
+        assertFalse(answers.hasRoom(1, 1));
+        assertTrue(answers.hasRoom(3_000, 0));
+        assertFalse(answers.hasRoom(3_001, 0));
         answers.addUnread(-6_000);
         assertFalse(answers.isNearLimit());
     }
 
+    /** Guards against one slow reader that leaves no room for the unread answers of another. */
+    @Test
+    void oneClientsUnreadAnswersLeaveRoomForAnotherClients() {
+        AnswerBudget answers = new AnswerBudget(9_000_000);
+        answers.addUnread(2_400_000);
+        assertFalse(answers.allowsUnread(2_400_000));
+        assertFalse(answers.hasRoom(1, 2_400_000));
+        assertTrue(answers.hasRoom(2_000_000, 500_000));
+        answers.addUnread(3_500_000);
+        assertTrue(answers.hasRoom(30_000, 30_000));
+        assertFalse(answers.hasRoom(30_000, 500_000));
+    }
+
+    /** Guards against clients whose commands take all the memory for commands. */
+    @Test
+    void oneClientsReservationsLeaveRoomForAnotherClients() {
+        ByteBudget budget = new ByteBudget(100_000);
+        long held = 0;
+        while (budget.reserve(10_000, held)) {
+            held += 10_000;
+        }
+        assertEquals(60_000, held);
+        assertTrue(budget.reserve(10_000, 0));
+        budget.add(30_000);
+        assertFalse(budget.reserve(10_000, 5_000));
+        assertTrue(budget.reserve(2_000, 1_000));
+    }
+
     @Test
     void incomingAnswersAreBoundedTogetherWithUnreadOnes() {
         AnswerBudget answers = new AnswerBudget(9_000);
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
@@ -11,6 +11,9 @@
     /** Length of the random bytes that the server sends and the client scrambles its password with. */
     static final int NONCE_BYTES = 20;
 
+    /** With this many answers due to rejected commands, reading pauses. */
+    private static final int MAX_REJECTED_ANSWERS = 1024;
+
     /** The error code for a request that has not run. */
     static final int REQUEST_REJECTED = 1226;
 
@@ -57,6 +60,8 @@
     final byte[] nonce = new byte[NONCE_BYTES];
     final PreparedStatements preparedStatements;
     final ArrayDeque<Command> waitingCommands = new ArrayDeque<>();
+    /** Memory of the commands that wait. */
+    long waitingBytes;
     /** Handle in the frontend's table of clients; also the ticket under which the client's requests are submitted. */
     long handle;
 
@@ -84,7 +89,30 @@
 
     /** Adds a command to those that wait. */
     void addWaiting(byte[] packet, long atMicros) {
-        waitingCommands.add(new Command(packet, atMicros, null));
+        Command command = new Command(packet, atMicros, null);
+        waitingCommands.add(command);
+        waitingBytes += command.memoryBytes();
+    }
+
+    /** Removes the next of the commands that wait. */
+    void pollWaiting() {
+        waitingBytes -= waitingCommands.poll().memoryBytes();
+    }
+
+    /** Removes all commands that wait. */
+    void dropWaiting() {
+        waitingCommands.clear();
+        waitingBytes = 0;
+    }
+
+    /** Memory of its commands that are not answered yet. */
+    long commandBytes() {
+        return waitingBytes + openRequestBytes;
+    }
+
+    /** Bytes of answers that are kept, as it has not read those before them; 0 if it reads at once. */
+    long unreadBytes() {
+        return link.isPeerBehind() ? link.pendingWriteBytes() : 0;
     }
 
     /** Adds a command that is rejected when its turn comes; little more is kept of it than that it must be answered. */
@@ -95,6 +123,9 @@
             waitingCommands.add(last);
         }
         last.rejected().add(packet);
+        if (last.rejected().answersDue() >= MAX_REJECTED_ANSWERS) {
+            link.pauseReading(true);
+        }
     }
 
     /** Answers that are due to the client. */
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -35,8 +35,6 @@
     private static final int MAX_PACKET_BYTES = 1 << 20;
     /** Commands of one client that may wait until those before them have been answered. */
     private static final int MAX_WAITING_COMMANDS = 64;
-    /** A client that is slow to read gets its next answer once no more than this is unread. */
-    private static final long RESUME_UNREAD_BYTES = 256 << 10;
     /** Pause before another attempt to close a connection that was in use. */
     private static final long CLOSE_RETRY_MICROS = 20_000;
     /** How long, during a drain or a shutdown, a partly sent packet or a partly read answer delays the close. */
@@ -136,8 +134,8 @@
     }
 
     private void dropWaitingCommands(MysqlClient client) {
-        client.waitingCommands.forEach(command -> commandMemory.add(-command.memoryBytes()));
-        client.waitingCommands.clear();
+        commandMemory.add(-client.waitingBytes);
+        client.dropWaiting();
     }
 
     private void releaseOpenRequest(MysqlClient client) {
@@ -218,7 +216,7 @@
             takeLogin(client, packet);
         } else if (client.isAnswerPending()
                 && (client.waitingCommands.size() >= MAX_WAITING_COMMANDS
-                        || !commandMemory.reserve(MysqlClient.Command.memoryBytes(packet)))) {
+                        || !commandMemory.reserve(MysqlClient.Command.memoryBytes(packet), client.commandBytes()))) {
             client.addRejected(packet);
         } else if (client.isAnswerPending()) {
             client.addWaiting(packet, atMicros);
@@ -312,7 +310,7 @@
                 refuse(client, clientRequest, RefusalReason.ANSWERS_UNREAD);
                 return;
             }
-            if (!commandMemory.reserve(request.memoryBytes())) {
+            if (!commandMemory.reserve(request.memoryBytes(), client.commandBytes())) {
                 warnings.warn("requests are refused as the memory for commands is used up");
                 refuse(client, clientRequest, RefusalReason.NO_COMMAND_MEMORY);
                 return;
@@ -344,7 +342,7 @@
             return;
         }
         MysqlRequest.Answer whole = (MysqlRequest.Answer) answer;
-        if (answerMemory.hasRoom(whole.size(), client.link.isPeerBehind())) {
+        if (answerMemory.hasRoom(whole.size(), client.unreadBytes())) {
             client.answer(whole);
         } else {
             warnings.warn("answers are replaced by errors as clients have not read earlier ones");
@@ -404,18 +402,25 @@
                     && !client.waitingCommands.isEmpty()
                     && clients.get(client.handle) == client) {
                 if (client.link.isWriteBacklogged()) {
-                    client.link.whenPendingAtMost(RESUME_UNREAD_BYTES, () -> takeWaitingCommands(client));
+                    client.link.whenNotBacklogged(() -> takeWaitingCommands(client));
+                    return;
+                }
+                if (pooler.loop().isTurnOver()) {
+                    client.link.post(() -> takeWaitingCommands(client));
                     return;
                 }
                 MysqlClient.Command command = client.waitingCommands.peek();
                 if (command.isRejected()) {
                     answerRejected(client, command.rejected());
                 } else {
-                    client.waitingCommands.poll();
+                    client.pollWaiting();
                     commandMemory.add(-command.memoryBytes());
                     takeCommand(client, command.packet(), command.atMicros());
                 }
             }
+            if (client.waitingCommands.isEmpty()) {
+                client.link.pauseReading(false);
+            }
             endAfterProtocolError(client);
             markIdle(client);
         } catch (Framer.Malformed e) {
@@ -430,7 +435,7 @@
             rejected.answered();
             client.error(MysqlClient.REQUEST_REJECTED, "42000", "too many commands at once: a repeat does no harm");
         } else {
-            client.waitingCommands.poll();
+            client.pollWaiting();
             if (rejected.endsConnection()) {
                 end(client, EndReason.GOODBYE);
             }
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -68,8 +68,6 @@
      * A peer that leaves more than this unread has its connection reset; frontends hold back answers long before that.
      */
     private static final long PENDING_WRITE_MAX_BYTES = 16 << 20;
-    /** A peer that reads at once leaves no more than this pending. */
-    private static final long PROMPT_PENDING_BYTES = 64 << 10;
     /**
      * Parts from this size on are handed to MINA as they are; smaller ones are copied into one buffer with their
      * neighbours.
@@ -298,7 +296,8 @@
         connectFuture = future;
     }
 
-    private void post(Runnable work) {
+    /** Queues work for the core behind what waits of this connection; any thread. */
+    public void post(Runnable work) {
         if (urgent) {
             loop.postUrgent(work);
         } else {
@@ -365,7 +364,7 @@
             // Guards the core's queue against a peer that sends faster than its messages are processed.
             from.suspendRead();
             if (!isInputOverShare() && !readingPaused && !readingPausedForBacklog) {
-                from.resumeRead();
+                loop.post(source, this::resumeReading);
             }
         }
         post(delivery);
@@ -541,7 +540,7 @@
         int more = size - inputBuffer.length;
         if (size <= SMALL_INPUT_BUFFER_BYTES) {
             budgets.partialMessages().add(more);
-        } else if (!budgets.partialMessages().reserve(more)) {
+        } else if (!budgets.partialMessages().reserve(more, inputBuffer.length)) {
             throw new Framer.Malformed("no room for so many long messages at once");
         }
         inputBuffer = Arrays.copyOf(inputBuffer, size);
@@ -560,7 +559,7 @@
     }
 
     private void resumeReadingIfDrained(IoSession to) {
-        if (readingPausedForBacklog && to.getScheduledWriteBytes() <= Outbound.FULL_BYTES / 2) {
+        if (readingPausedForBacklog && outbound.hasDrained(to)) {
             readingPausedForBacklog = false;
             loop.post(source, this::resumeReading);
         }
@@ -704,7 +703,7 @@
 
     /** Whether more is pending than a peer leaves that reads at once; core thread. */
     public boolean isPeerBehind() {
-        return pendingWriteBytes() > PROMPT_PENDING_BYTES;
+        return pendingWriteBytes() > Outbound.PROMPT_BYTES;
     }
 
     /** Whether so many bytes are pending that answers must wait; core thread. */
@@ -712,6 +711,14 @@
         return !closed && outbound.isFull();
     }
 
+    /**
+     * Runs {@code then} once, on the core thread, as soon as answers that waited because of {@link #isWriteBacklogged}
+     * may go on; it replaces an earlier one that has not run. Core thread.
+     */
+    public void whenNotBacklogged(Runnable then) {
+        outbound.whenNotFull(then);
+    }
+
     /**
      * Runs {@code then} once, on the core thread, as soon as no more than the given number of bytes is pending; it
      * replaces an earlier one that has not run. Core thread.
--- a/net/src/main/java/lupinvalve/net/LinkBudgets.java
+++ b/net/src/main/java/lupinvalve/net/LinkBudgets.java
@@ -20,12 +20,12 @@
     /** For a client's connection: what is written there are answers. */
     static LinkBudgets ofClient(MemoryBudgets budgets) {
         AnswerBudget answers = budgets.answers();
-        return of(budgets, new OutputMeter(answers::addUnread, answers::isExhausted));
+        return of(budgets, new OutputMeter(answers::addUnread, answers::allowsUnread, answers::isExhausted));
     }
 
     /** For a connection that this process has dialled: what is written there are clients' commands. */
     static LinkBudgets ofDialled(MemoryBudgets budgets) {
-        return of(budgets, new OutputMeter(budgets.commands()::add, () -> false));
+        return of(budgets, new OutputMeter(budgets.commands()::add, pending -> true, () -> false));
     }
 
     private static LinkBudgets of(MemoryBudgets budgets, OutputMeter output) {
--- a/net/src/main/java/lupinvalve/net/Outbound.java
+++ b/net/src/main/java/lupinvalve/net/Outbound.java
@@ -1,6 +1,7 @@
 package lupinvalve.net;
 
 import lupinvalve.core.EventLoop;
+import lupinvalve.maintenance.AnswerBudget;
 import org.apache.mina.core.session.IoSession;
 
 /**
@@ -11,6 +12,10 @@
 final class Outbound {
     /** With more pending bytes than this, nothing more is read from the peer, and answers wait. */
     static final long FULL_BYTES = 1 << 20;
+    /** A peer that reads at once leaves no more than this pending, which every connection may have. */
+    static final long PROMPT_BYTES = AnswerBudget.GUARANTEED_UNREAD_BYTES;
+    /** Answers that have waited go on once no more than this is pending. */
+    private static final long RESUME_BYTES = 256 << 10;
     /** A peer with pending bytes must take at least one byte in this time. */
     private static final long STALLED_MICROS = 15_000_000;
     /** Interval of the checks for that. */
@@ -18,6 +23,7 @@
 
     private final EventLoop loop;
     private final EventLoop.Source source;
+    private final OutputMeter meter;
     private final PendingOutputCharge charge;
     private final Runnable onStalled;
     private IoSession session;
@@ -45,6 +51,7 @@
     Outbound(EventLoop loop, EventLoop.Source source, OutputMeter meter, Runnable onStalled) {
         this.loop = loop;
         this.source = source;
+        this.meter = meter;
         charge = new PendingOutputCharge(meter);
         this.onStalled = onStalled;
     }
@@ -75,8 +82,21 @@
         return session == null || !session.isConnected() ? 0 : session.getScheduledWriteBytes();
     }
 
+    /** Whether more is pending than one connection may have: {@link #FULL_BYTES}, or its share if that is less. */
     boolean isFull() {
-        return pendingBytes() > FULL_BYTES;
+        long pending = pendingBytes();
+        return pending > FULL_BYTES || pending > PROMPT_BYTES && !meter.allows(pending);
+    }
+
+    /** Whether so much of what was too much has drained that the peer may be read again; any thread. */
+    boolean hasDrained(IoSession to) {
+        long pending = to.getScheduledWriteBytes();
+        return pending <= PROMPT_BYTES / 2 || pending <= FULL_BYTES / 2 && meter.allows(pending);
+    }
+
+    /** Runs {@code then} once, on the core thread, as soon as answers that waited as it was full may go on. */
+    void whenNotFull(Runnable then) {
+        whenPendingAtMost(Math.min(RESUME_BYTES, pendingBytes() / 2), then);
     }
 
     /** Runs {@code then} once, on the core thread, as soon as no more than {@code bytes} are pending. */
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -19,6 +19,7 @@
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.maintenance.ByteBudget;
+import lupinvalve.maintenance.FairShare;
 import lupinvalve.maintenance.ResourceBudgets;
 import lupinvalve.net.ClientEndLog;
 import lupinvalve.net.ClientEviction;
@@ -42,8 +43,6 @@
     private static final int PAUSE_READING_REPLIES = 1024;
     /** Memory of a pending answer beside its messages. */
     private static final int REPLY_BYTES = 256;
-    /** A client that is slow to read gets its next answer once no more than this is unread. */
-    private static final long RESUME_UNREAD_BYTES = 256 << 10;
     /** An answer up to this size is kept in any case: an error in its place would save nothing. */
     private static final int SHORT_ANSWER_BYTES = 256;
     /** An aborted row is padded in pieces of this size. */
@@ -62,6 +61,7 @@
     private final Pooler pooler;
     private final HandleTable<Client> clients;
     private final HandleTable<Reply> replies;
+    private final int maxClients;
     private final IdentityHashMap<Link, Client> byLink = new IdentityHashMap<>();
     private final ClientEviction<Client> clientEviction;
     /** Connections beyond the limit, and whether an error has been sent on them. */
@@ -102,6 +102,8 @@
         final ArrayDeque<Reply> pendingReplies = new ArrayDeque<>();
         /** Bytes of pending answers that wait for those before them. */
         long waitingBytes;
+        /** Bytes of statements that are not answered yet. */
+        long statementBytes;
 
         Client(Link link, long openedAt) {
             this.link = link;
@@ -110,7 +112,12 @@
 
         /** Whether answers for this client are kept, as it has not read those before them. */
         boolean hasUnreadAnswers() {
-            return waitingBytes > 0 || link.isPeerBehind();
+            return unreadBytes() > 0;
+        }
+
+        /** Bytes of answers that are kept, as it has not read those before them; 0 if it reads at once. */
+        long unreadBytes() {
+            return waitingBytes + (link.isPeerBehind() ? link.pendingWriteBytes() : 0);
         }
     }
 
@@ -154,6 +161,7 @@
         clientEviction = new ClientEviction<>(
                 pooler.loop(), clients, maxClients, pooler.settings().limits().maxOpenRequests(), this::retire);
         replies = new HandleTable<>(maxClients * 8);
+        this.maxClients = maxClients;
         clientEndLog = new ClientEndLog(pooler.loop());
         commandMemory = pooler.memory().commands();
         answerMemory = pooler.memory().answers();
@@ -414,6 +422,7 @@
             }
             Reply reply = new Reply(client);
             reply.statementBytes = statement.size();
+            client.statementBytes += statement.size();
             add(reply);
             reply.ticket = replies.put(reply);
             reply.request = pooler.submit(this, reply.ticket, request);
@@ -426,12 +435,14 @@
     private Optional<RefusalReason> refusal(Client client, Statement statement) {
         if (client.pendingReplies.size() >= MAX_PIPELINED_REQUESTS) {
             return Optional.of(RefusalReason.TOO_MANY_AT_ONCE);
-        } else if (replies.isFull()) {
+        } else if (replies.isFull()
+                || !FairShare.allows(
+                        client.pendingReplies.size(), 1, replies.size() + maxClients, replies.capacity())) {
             return Optional.of(RefusalReason.TABLE_FULL);
         } else if (mustReadFirst(client)) {
             return Optional.of(RefusalReason.ANSWERS_UNREAD);
         }
-        return commandMemory.reserve(statement.size())
+        return commandMemory.reserve(statement.size(), client.statementBytes)
                 ? Optional.empty()
                 : Optional.of(RefusalReason.NO_COMMAND_MEMORY);
     }
@@ -619,6 +630,7 @@
     /** Subtracts from the totals what a request counted, once it is answered or dropped. */
     private void release(Reply reply) {
         commandMemory.add(-reply.statementBytes);
+        reply.client.statementBytes -= reply.statementBytes;
         streamCount -= reply.source != null ? 1 : 0;
     }
 
@@ -647,7 +659,7 @@
 
     /** Whether there is room for an answer of this size until its client has read it. */
     private boolean hasRoom(Client client, long size) {
-        boolean hasRoom = answerMemory.hasRoom(size, client.hasUnreadAnswers());
+        boolean hasRoom = answerMemory.hasRoom(size, client.unreadBytes());
         if (!hasRoom) {
             warnings.warn("answers are replaced by errors as clients have not read earlier ones");
         }
@@ -693,7 +705,7 @@
     private void flush(Client client) {
         while (!client.pendingReplies.isEmpty() && client.pendingReplies.peek().messages != null) {
             if (client.link.isWriteBacklogged()) {
-                client.link.whenPendingAtMost(RESUME_UNREAD_BYTES, () -> flush(client));
+                client.link.whenNotBacklogged(() -> flush(client));
                 return;
             }
             Reply reply = client.pendingReplies.poll();
