Begin nothing of a client whose end may stand behind unread input

What callers saw: a client had closed its connection with much of its input unread, and its requests were sent on afterwards.

Cause: the end of a connection is seen once all before it has been read. Reading pauses while the client's input waits for the core or its answers for it, so what had been read before was begun however long ago the client had closed.

Change: a connection knows since when input of it may wait in the system: from a read that did not empty the socket, or from the pause, until a read finds nothing. Over 80 ms, no attempt of it begins: not started ones are refused (53300, 1226: a repeat does no harm), retries fail. A connection that is read on is read once in any case, so that silence is not taken for unread input. What has been read of a client that is known to have left is dropped unparsed.

--- a/core/src/main/java/lupinvalve/core/Frontend.java
+++ b/core/src/main/java/lupinvalve/core/Frontend.java
@@ -18,6 +18,14 @@
     /** Whether the client has disconnected according to its socket; the core may not have processed that yet. */
     boolean isClientDisconnected(long ticket);
 
+    /**
+     * Whether the client may have disconnected without its socket showing it, as input of it waits unread; nothing of
+     * it may begin then.
+     */
+    default boolean mayHaveLeft(long ticket) {
+        return isClientDisconnected(ticket);
+    }
+
     /** The client of a request, for the log; not chosen by the client. */
     default String clientLabel(long ticket) {
         return "a client";
--- a/core/src/main/java/lupinvalve/core/OpenRequest.java
+++ b/core/src/main/java/lupinvalve/core/OpenRequest.java
@@ -37,6 +37,11 @@
     /** How long the ends of its attempts waited for the event loop, in sum. */
     long answerWaitMicros;
 
+    /** Whether its id is claimed in {@link RequestTable}'s ids. */
+    boolean isIdClaimed;
+    /** Whether any attempt was written to a db node's connection, so that it may run. */
+    boolean wasWritten;
+
     /** Attempts that the router has started, whether or not they were sent. */
     int attemptCount;
 
@@ -66,6 +71,10 @@
         return requestClass.access() == RequestClass.Access.WRITE;
     }
 
+    boolean mayHaveLeft() {
+        return frontend.mayHaveLeft(ticket);
+    }
+
     boolean isClientDisconnected() {
         return frontend.isClientDisconnected(ticket);
     }
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -8,6 +8,7 @@
 import lupinvalve.maintenance.DrainCommands;
 import lupinvalve.maintenance.MemoryBudgets;
 import lupinvalve.maintenance.Metrics;
+import lupinvalve.maintenance.SentIds;
 import lupinvalve.routing.AttemptOutcome;
 import lupinvalve.routing.ListForm;
 import lupinvalve.routing.LogPosition;
@@ -122,6 +123,14 @@
         fence.set(mayAct);
     }
 
+    /**
+     * Sets the ids of requests that have been sent, which another process may share; to be called before
+     * {@link #start}.
+     */
+    public void sentIds(SentIds ids) {
+        requests.sentIds(ids);
+    }
+
     /** Sets the store of session tokens; to be called before {@link #start}. */
     public void sessionTokens(SessionTokenStore tokens) {
         lifecycle.sessionTokens(tokens);
@@ -205,6 +214,7 @@
         Attempt attempt = attempts.get(handle);
         if (attempt != null) {
             attempt.writtenAtMicros = loop.now();
+            attempt.request.wasWritten = true;
         }
     }
 
@@ -260,7 +270,7 @@
         }
         Attempt waiting = attempts.get(attempt);
         return waiting == null
-                || !waiting.request.isClientDisconnected()
+                || !waiting.request.mayHaveLeft()
                         && router.router().sendValidity().mayStillBeSent(waiting.request.routerId, loop.now());
     }
 
@@ -373,6 +383,11 @@
             reportNotSent(start, number, true);
             return;
         }
+        if (open.mayHaveLeft() || number == 0 && !requests.claimId(open)) {
+            lifecycle.endUnstarted(open, number, open.mayHaveLeft());
+            reportNotSent(start, number, true);
+            return;
+        }
         EndpointInstance instance = endpoints.instance(start.node());
         String address = instance == null ? null : instance.address(open.request.protocol());
         if (address == null || attempts.isFull() || fence.isClosed()) {
--- a/core/src/main/java/lupinvalve/core/RefusalReason.java
+++ b/core/src/main/java/lupinvalve/core/RefusalReason.java
@@ -9,7 +9,9 @@
     /** The client has to read earlier answers first. */
     ANSWERS_UNREAD("answers unread"),
     /** All requests that may be open are. */
-    TABLE_FULL("table full");
+    TABLE_FULL("table full"),
+    /** More of the client's input waits unread, so that it may have left. */
+    INPUT_UNREAD("input unread");
 
     private final String text;
 
--- a/core/src/main/java/lupinvalve/core/RequestLifecycle.java
+++ b/core/src/main/java/lupinvalve/core/RequestLifecycle.java
@@ -115,6 +115,22 @@
         attempts.cancelUnsent(open);
     }
 
+    /**
+     * Answers a request whose attempt must not start: its client may have left, or its id has been sent before.
+     *
+     * @param attempts attempts that were started earlier and may have run
+     */
+    void endUnstarted(OpenRequest open, int attempts, boolean mayHaveLeft) {
+        if (mayHaveLeft && attempts == 0) {
+            log.refused(RefusalReason.INPUT_UNREAD);
+            requests.close(open, RequestOutcome.REJECTED);
+            open.frontend.rejected(open.ticket, settings.limits().maxRetryAfterMicros());
+        } else {
+            requests.close(open, RequestOutcome.FAILED);
+            open.frontend.failed(open.ticket);
+        }
+    }
+
     /** Fails a request that the router has left open past its deadline, so that each request is answered in time. */
     private void failOverdue(OpenRequest open) {
         if (!open.closed) {
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -310,6 +310,10 @@
                 refuse(client, clientRequest, RefusalReason.ANSWERS_UNREAD);
                 return;
             }
+            if (client.link.mayHaveLeft()) {
+                refuse(client, clientRequest, RefusalReason.INPUT_UNREAD);
+                return;
+            }
             if (!commandMemory.reserve(request.memoryBytes(), client.commandBytes())) {
                 warnings.warn("requests are refused as the memory for commands is used up");
                 refuse(client, clientRequest, RefusalReason.NO_COMMAND_MEMORY);
@@ -375,6 +379,12 @@
         return client == null || client.link.hasEnded();
     }
 
+    @Override
+    public boolean mayHaveLeft(long ticket) {
+        MysqlClient client = clients.get(ticket);
+        return client == null || client.link.mayHaveLeft();
+    }
+
     @Override
     public String clientLabel(long ticket) {
         MysqlClient client = clients.get(ticket);
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -74,6 +74,8 @@
      */
     private static final int JOIN_BELOW_BYTES = 16 << 10;
 
+    /** Nothing of a client that has closed may begin 0.1 s later; the rest is for the threads' turns. */
+    private static final long MAX_UNREAD_MICROS = 80_000;
     /** Messages that are passed to the handler at once. */
     private static final int MESSAGES_PER_CALL_COUNT = 8;
     /** Memory of a message that waits for the core, beside its bytes. */
@@ -120,6 +122,10 @@
     private final Object readLock = new Object();
     private long bytesRead;
     private boolean readingStopped;
+    private boolean readingSuspended;
+    /** Since when input may be waiting in the system; {@link Long#MAX_VALUE} if a read has found none. */
+    private volatile long unreadSinceMicros = Long.MAX_VALUE;
+
     private int readsAfterStop;
     /** Bytes read when the core last requested the close: if more have been read since, the connection stays open. */
     private long bytesReadAtRetire = -1;
@@ -236,7 +242,7 @@
         if (urgent || queuedBytes.get() == 0 || !budgets.unprocessedInput().isExhausted()) {
             return false;
         }
-        from.suspendRead();
+        suspendReading(from);
         loop.post(source, this::resumeReading);
         return true;
     }
@@ -252,6 +258,11 @@
             bytesRead += Math.max(0, count);
             // MINA repeats the read until nothing is left or its buffer is full.
             socketEmptied = count <= 0;
+            if (count == 0 && !readingSuspended) {
+                unreadSinceMicros = Long.MAX_VALUE;
+            } else if (count == 0 || unreadSinceMicros == Long.MAX_VALUE) {
+                unreadSinceMicros = loop.now();
+            }
             return count;
         }
     }
@@ -362,7 +373,7 @@
         queuedBytes.addAndGet(delivery.memoryBytes);
         if (isInputOverShare()) {
             // Guards the core's queue against a peer that sends faster than its messages are processed.
-            from.suspendRead();
+            suspendReading(from);
             if (!isInputOverShare() && !readingPaused && !readingPausedForBacklog) {
                 loop.post(source, this::resumeReading);
             }
@@ -531,11 +542,32 @@
                 && session != null
                 && session.isReadSuspended()
                 && !isReadingStopped()) {
+            synchronized (readLock) {
+                readingSuspended = false;
+            }
             session.resumeRead();
-            Net.wakeUp(session);
+            if (!Net.readSoon(session)) {
+                unreadSinceMicros = Long.MAX_VALUE;
+            }
         }
     }
 
+    private void suspendReading(IoSession of) {
+        synchronized (readLock) {
+            readingSuspended = true;
+            unreadSinceMicros = Math.min(unreadSinceMicros, loop.now());
+        }
+        of.suspendRead();
+    }
+
+    /**
+     * Whether the peer may have left without this process knowing: input of it has been waiting in the system, where
+     * its end may stand behind it, for so long that a request read earlier must not begin. Any thread.
+     */
+    public boolean mayHaveLeft() {
+        return disconnected || loop.now() - unreadSinceMicros > MAX_UNREAD_MICROS;
+    }
+
     private void growInputBuffer(int size) throws Framer.Malformed {
         int more = size - inputBuffer.length;
         if (size <= SMALL_INPUT_BUFFER_BYTES) {
@@ -667,7 +699,7 @@
         if (outbound.isFull() && !readingPausedForBacklog) {
             // A peer that keeps sending requests without reading the answers would fill this process's memory.
             readingPausedForBacklog = true;
-            session.suspendRead();
+            suspendReading(session);
             outbound.watch();
             resumeReadingIfDrained(session);
         }
@@ -689,7 +721,7 @@
         readingPaused = pause;
         if (!closed && session != null) {
             if (pause) {
-                session.suspendRead();
+                suspendReading(session);
             } else {
                 resumeReading();
             }
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -156,12 +156,17 @@
         }
     }
 
-    /** Has the processor's thread notice at once that a session is to be read again; any thread. */
-    static void wakeUp(IoSession session) {
+    /**
+     * Has the processor's thread read a session whose reading was suspended, even if nothing arrives; false if it is on
+     * no socket. Any thread.
+     */
+    static boolean readSoon(IoSession session) {
         Processor processor = processorOf(session);
-        if (processor != null) {
-            processor.wakeup();
+        if (processor == null) {
+            return false;
         }
+        processor.scheduleRead((NioSession) session);
+        return true;
     }
 
     /** The processor of a session on sockets; null for any other. */
@@ -177,6 +182,7 @@
      */
     public static class Processor extends NioProcessor {
         private final Queue<NioSession> pendingCloses = new ConcurrentLinkedQueue<>();
+        private final Queue<NioSession> pendingReads = new ConcurrentLinkedQueue<>();
         /** Which connections took the thread's time, for the log. */
         private final TimeUsage usage = new TimeUsage(nowMicros());
 
@@ -243,6 +249,9 @@
             for (NioSession session = pendingCloses.poll(); session != null; session = pendingCloses.poll()) {
                 readBeforeClose(session);
             }
+            for (NioSession session = pendingReads.poll(); session != null; session = pendingReads.poll()) {
+                readOnce(session);
+            }
             return super.select(timeout);
         }
 
@@ -257,6 +266,27 @@
             wakeup();
         }
 
+        private void scheduleRead(NioSession session) {
+            pendingReads.add(session);
+            wakeup();
+        }
+
+        /** Reads a session that may have nothing to read, so that it is known whether its peer is still there. */
+        private void readOnce(NioSession session) {
+            if (!session.isConnected() || session.isClosing() || session.isReadSuspended()) {
+                return;
+            }
+            IoBuffer in = IoBuffer.allocate(READ_BUFFER_MIN_BYTES);
+            try {
+                read(session, in);
+                if (in.position() > 0) {
+                    session.getFilterChain().fireMessageReceived(in.flip());
+                }
+            } catch (Exception e) {
+                session.getFilterChain().fireExceptionCaught(e);
+            }
+        }
+
         /** Closes a connection whose close was requested, unless input has arrived; that is passed on as usual. */
         private void readBeforeClose(NioSession session) {
             IoBuffer in = IoBuffer.allocate(READ_BUFFER_MIN_BYTES);
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -282,7 +282,9 @@
             return;
         }
         for (byte[] message : messages) {
-            if (client.endReason != null || clients.get(client.handle) != client) {
+            if (client.endReason != null
+                    || clients.get(client.handle) != client
+                    || client.isStarted && link.hasEnded()) {
                 return;
             }
             if (!client.isStarted) {
@@ -439,6 +441,8 @@
                 || !FairShare.allows(
                         client.pendingReplies.size(), 1, replies.size() + maxClients, replies.capacity())) {
             return Optional.of(RefusalReason.TABLE_FULL);
+        } else if (client.link.mayHaveLeft()) {
+            return Optional.of(RefusalReason.INPUT_UNREAD);
         } else if (mustReadFirst(client)) {
             return Optional.of(RefusalReason.ANSWERS_UNREAD);
         }
@@ -507,6 +511,12 @@
         return reply == null || reply.client.link.hasEnded();
     }
 
+    @Override
+    public boolean mayHaveLeft(long ticket) {
+        Reply reply = replies.get(ticket);
+        return reply == null || reply.client.link.mayHaveLeft();
+    }
+
     @Override
     public String clientLabel(long ticket) {
         Reply reply = replies.get(ticket);
