Run an id once, also when it comes again after its client has left

What callers saw: an id ran twice when it came again after its client had left.

Cause: only ids of open requests were known. A request whose client has left is closed at once, while its attempt may be running, so the same id on another connection was sent again.

A second request of that id is answered as failed: it may have run. Ids of answered requests can be used again as before (prepared statements carry one id).

SentIdsTest holds that of four threads, or of two tables on shared memory, one gets an id. Not yet shared between the two processes of an upgrade.

--- a/core/src/main/java/lupinvalve/core/RequestTable.java
+++ b/core/src/main/java/lupinvalve/core/RequestTable.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import lupinvalve.maintenance.Metrics;
+import lupinvalve.maintenance.SentIds;
 import lupinvalve.routing.RequestClass;
 
 /**
@@ -18,6 +20,7 @@
     private final HandleTable<OpenRequest> byHandle;
     private final Map<String, OpenRequest> byRouterId = new HashMap<>();
     private final Set<String> clientIds = new HashSet<>();
+    private SentIds sentIds = new SentIds();
 
     RequestTable(EventLoop loop, Metrics metrics, RequestLog log, int capacity) {
         this.loop = loop;
@@ -49,6 +52,22 @@
         return byRouterId.get(id);
     }
 
+    /** Sets the ids of requests that have been sent, which another process may share. */
+    void sentIds(SentIds ids) {
+        sentIds = ids;
+    }
+
+    /** Claims a request's id before its first attempt; false if a request of that id may have been sent before. */
+    boolean claimId(OpenRequest open) {
+        open.isIdClaimed = sentIds.claim(open.request.id(), monotonicMillis());
+        return open.isIdClaimed;
+    }
+
+    /** A clock that all processes of a machine share. */
+    private static long monotonicMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
     /** Adds a request; the table must not be full. */
     OpenRequest open(
             Frontend frontend, long ticket, ClientRequest request, RequestClass requestClass, long deadlineMicros) {
@@ -69,6 +88,9 @@
         byHandle.remove(open.handle);
         byRouterId.remove(open.routerId);
         clientIds.remove(open.request.id());
+        if (open.isIdClaimed && (outcome != RequestOutcome.DISCONNECTED || !open.wasWritten)) {
+            sentIds.release(open.request.id(), monotonicMillis());
+        }
         metrics.setInFlight(byHandle.size());
         if (outcome.result != null) {
             metrics.requestEnded(open.request.classIndex(), outcome.result);
