End clients that stop in the middle of a message within 3 s

What callers saw: hundreds of clients that stop half way through a large request keep their memory for good; those that had sent a command before were ended only to make room.

Cause: the limit of 2.6 s held for a connection's first command alone.

Change: a connection whose message has been incomplete for 2.6 s since its last byte gets the protocol's error and is closed, unless its input waits unread in the system.

--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -76,6 +76,10 @@
 
     /** Nothing of a client that has closed may begin 0.1 s later; the rest is for the threads' turns. */
     private static final long MAX_UNREAD_MICROS = 80_000;
+    /** A client that stops in the middle of a message must have its error or the close within 3 s. */
+    private static final long STALLED_MESSAGE_MICROS = 2_600_000;
+    /** Pause before another look at a message that is incomplete. */
+    private static final long STALLED_RECHECK_MICROS = 100_000;
     /** Messages that are passed to the handler at once. */
     private static final int MESSAGES_PER_CALL_COUNT = 8;
     /** Memory of a message that waits for the core, beside its bytes. */
@@ -107,7 +111,7 @@
     // Used by MINA's thread.
     private byte[] inputBuffer = new byte[0];
     private int inputLength;
-    private boolean inputIgnored;
+    private volatile boolean inputIgnored;
     private boolean socketEmptied = true;
     private ReadProgress readProgress;
     /** The latest time at which the byte at offset {@code sendDeadlineFromByte} may be handed to the socket. */
@@ -160,6 +164,8 @@
     private long bytesProcessed;
     private long partialSinceMicros;
     private boolean hasPartialMessage;
+    private long lastInputAtMicros;
+    private boolean isPartialMessageWatched;
     private long bytesSentAtRead;
     private long earliestArrivalMicros;
     /** Bytes submitted when the last messages were delivered: those submitted since belong to the answer to them. */
@@ -492,10 +498,36 @@
                 partialSinceMicros = receivedAtMicros;
             }
             hasPartialMessage = endsMidMessage;
+            lastInputAtMicros = receivedAtMicros;
+            watchPartialMessage();
             resumeReading();
         }
     }
 
+    /** Ends a client's connection that stops in the middle of a message and stays; core thread. */
+    private void watchPartialMessage() {
+        if (hasPartialMessage && !dialled && !urgent && !isPartialMessageWatched && !closed) {
+            isPartialMessageWatched = true;
+            loop.after(STALLED_MESSAGE_MICROS, this::checkPartialMessage);
+        }
+    }
+
+    private void checkPartialMessage() {
+        isPartialMessageWatched = false;
+        if (closed || !hasPartialMessage || inputIgnored) {
+            return;
+        }
+        long restMicros = lastInputAtMicros + STALLED_MESSAGE_MICROS - loop.now();
+        // While its input waits unread, it is not the client that has stopped.
+        if (restMicros > 0 || unreadSinceMicros != Long.MAX_VALUE || hasUnprocessedBytes()) {
+            isPartialMessageWatched = true;
+            loop.after(Math.max(restMicros, STALLED_RECHECK_MICROS), this::checkPartialMessage);
+            return;
+        }
+        inputIgnored = true;
+        guarded(() -> events.malformed(this, "the message is incomplete"));
+    }
+
     private void deliverMessages(List<byte[]> messages, long receivedAtMicros) {
         bytesSubmittedAtMessages = outbound.bytesSubmitted();
         guarded(() -> events.messages(this, messages, receivedAtMicros));
