Share the ids of sent requests between the two processes of an upgrade

What callers saw: an id ran twice, at both processes of an upgrade, as its client had left the first.

Cause: what one process has sent the other did not know.

Measured: AdminInterfaceTest.anIdWhoseClientHasLeftOneProcessDoesNotRunAtTheOther: on the booking runs at both, now once.

--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -19,6 +19,7 @@
 import lupinvalve.discovery.DnsEndpointDiscovery;
 import lupinvalve.discovery.EndpointListReader;
 import lupinvalve.discovery.HttpEndpointDiscovery;
+import lupinvalve.hotrestart.SentIdsFile;
 import lupinvalve.log.Log;
 import lupinvalve.maintenance.ClientDrain;
 import lupinvalve.maintenance.MemoryBudgets;
@@ -161,6 +162,9 @@
             Path stem = sharedDirectory == null
                     ? null
                     : sharedDirectory.resolve("lupinvalve-" + config.name().replaceAll("[^A-Za-z0-9_.-]", "_"));
+            if (stem != null) {
+                pooler.sentIds(SentIdsFile.open(stem));
+            }
             adminTarget = new AdminCommandTarget(
                     pooler,
                     stem,
--- a/daemon/src/test/java/lupinvalve/integration/AdminInterfaceTest.java
+++ b/daemon/src/test/java/lupinvalve/integration/AdminInterfaceTest.java
@@ -269,6 +269,45 @@
         }
     }
 
+    /** Guards against an id that runs at both processes of a hot restart, as its client has left the first. */
+    @Test
+    void anIdWhoseClientHasLeftOneProcessDoesNotRunAtTheOther() throws Exception {
+        DbNode primary = new DbNode("s-1", true);
+        primary.hold = new CountDownLatch(1);
+        try (World world = world(primary, new DbNode("s-2", false))) {
+            Daemon next = World.daemon(world.config(world.discovery, 1024), OperatorConfig.NONE, sharedDirectory);
+            next.start();
+            try {
+                try (Socket first = world.raw(PlatformTest.booking("twice", 2000))) {
+                    World.await("runs", () -> primary.runs.containsKey("twice"));
+                    assertTrue(first.isConnected());
+                }
+                World.await("the first client has left", () -> openRequests(world) == 0);
+                primary.hold.countDown();
+                try (Socket second = World.raw(next.address().getPort(), PlatformTest.booking("twice", 2000))) {
+                    List<String> answers = PlatformTest.readMessages(second, 'Z', 2);
+                    assertTrue(answers.contains("E58000"), answers.toString());
+                }
+                assertEquals(1, primary.runs.get("twice"));
+            } finally {
+                next.stop();
+            }
+        }
+    }
+
+    private static long openRequests(World world) {
+        try {
+            return world.call("counters")
+                    .lines()
+                    .filter(line -> line.startsWith("edge_node.in_flight="))
+                    .mapToLong(line -> Long.parseLong(line.split("=")[1]))
+                    .findAny()
+                    .orElseThrow();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     @Test
     void hotRestartKeepsAddressAndDrainsAndServesAllClients() throws Exception {
         DbNode drained = new DbNode("s-2", false);
