Give an attempt whose answer is arriving until the request's deadline

What callers saw: a long answer that a db node was still writing slowly was cut off, and the request refused.

Change: when an attempt's time is over and bytes have come on its connection since its request was written, it has until the request's deadline.

--- a/core/src/main/java/lupinvalve/core/AttemptTable.java
+++ b/core/src/main/java/lupinvalve/core/AttemptTable.java
@@ -60,7 +60,7 @@
         attempt.handle = byHandle.put(attempt);
         log.attemptStarted(attempt);
         request.attemptInFlight = attempt;
-        attempt.timeout = loop.after(timeoutMicros, () -> abandon(attempt, AttemptOutcome.TIMED_OUT));
+        attempt.timeout = loop.after(timeoutMicros, () -> timeOut(attempt));
         backend(attempt)
                 .send(
                         attempt.handle,
@@ -71,6 +71,16 @@
                         startWithinMicros);
     }
 
+    /** Abandons an attempt, unless its answer is arriving: then it has until the request's deadline. */
+    private void timeOut(Attempt attempt) {
+        long remainingMicros = attempt.request.deadlineMicros - loop.now();
+        if (remainingMicros > 0 && backend(attempt).isAnswerArriving(attempt.handle)) {
+            attempt.timeout = loop.after(remainingMicros, () -> abandon(attempt, AttemptOutcome.TIMED_OUT));
+        } else {
+            abandon(attempt, AttemptOutcome.TIMED_OUT);
+        }
+    }
+
     /**
      * Abandons an attempt. Its outcome is {@code NOT_SENT}, whatever the reason, if none of it was handed to a socket:
      * the db node cannot have run it.
--- a/core/src/main/java/lupinvalve/core/Backend.java
+++ b/core/src/main/java/lupinvalve/core/Backend.java
@@ -30,6 +30,11 @@
     /** Whether the attempt is waiting for a connection, so that none of it has been handed to a socket. */
     boolean isAwaitingConnection(long attempt);
 
+    /** Whether a part of the attempt's answer has arrived, so that its db node is still writing it. */
+    default boolean isAnswerArriving(long attempt) {
+        return false;
+    }
+
     /** Requests a db node's load report; the result is reported to {@link Pooler#healthCheckEnded}. */
     void checkHealth(String node, String address);
 
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -85,6 +85,8 @@
         private long bytesBeforeRequest;
         /** Bytes submitted to the link up to the end of the request. */
         private long bytesThroughRequest;
+        /** Bytes read from the link before the answer. */
+        private long bytesReadBeforeAnswer;
         /** When the connection became idle. */
         private long idleSinceMicros;
         /** How long the connection was idle before its current job; 0 if it is new. */
@@ -384,6 +386,12 @@
         return connection != null && !connection.sent;
     }
 
+    @Override
+    public final boolean isAnswerArriving(long attempt) {
+        PooledConnection connection = byAttempt.get(attempt);
+        return connection != null && connection.sent && connection.link.bytesRead() > connection.bytesReadBeforeAnswer;
+    }
+
     @Override
     public final void closeIdleConnections(String node) {
         ArrayDeque<PooledConnection> idleOnes = idleByNode.remove(node);
@@ -600,6 +608,7 @@
     protected final void markSent(PooledConnection connection) {
         connection.sent = true;
         connection.bytesBeforeRequest = connection.link.bytesSubmitted();
+        connection.bytesReadBeforeAnswer = connection.link.bytesRead();
         if (!connection.job.isProbe()) {
             pooler.attemptWritten(connection.job.attempt);
             connection.link.setSendDeadline(
