Admit each client's requests by its share of what db nodes can serve at once

What callers saw: beside clients that send many valid requests at once, also on ever new connections that they leave, fair requests were refused, as no connection to a db node was free.

Cause: a client's 64 requests were all submitted at once, and its share of the connections to db nodes was whatever it had asked for; "no connection free" was logged for each, without a bound.

Change: FairAdmission submits a client's requests within its share (FairShare of the connections to db nodes; one in any case), the others wait, clients in turn, for half of their time at most, then they are refused (SHARE_TAKEN in the summary). What clients that have left still occupy counts. The drill counts connections that the machine never accepted apart: nothing of these was taken.

--- a/core/src/main/java/lupinvalve/core/AttemptTable.java
+++ b/core/src/main/java/lupinvalve/core/AttemptTable.java
@@ -30,6 +30,11 @@
         return byHandle.isFull();
     }
 
+    /** Attempts in flight. */
+    int size() {
+        return byHandle.size();
+    }
+
     /** The attempt in flight with this handle, or null. */
     Attempt get(long handle) {
         return byHandle.get(handle);
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -178,6 +178,11 @@
         return requests.size();
     }
 
+    /** Number of open requests, or of attempts in flight if these are more, as clients have left them behind. */
+    public int busyRequests() {
+        return Math.max(requests.size(), attempts.size());
+    }
+
     /** Limits the deadline of requests that are submitted from now on, in Unix microseconds, because of a shutdown. */
     public void answerBy(long deadlineMicros) {
         lifecycle.answerBy(deadlineMicros);
--- a/core/src/main/java/lupinvalve/core/RefusalReason.java
+++ b/core/src/main/java/lupinvalve/core/RefusalReason.java
@@ -11,7 +11,9 @@
     /** All requests that may be open are. */
     TABLE_FULL("table full"),
     /** More of the client's input waits unread, so that it may have left. */
-    INPUT_UNREAD("input unread");
+    INPUT_UNREAD("input unread"),
+    /** The client's share of what can be served at once was taken for too long. */
+    SHARE_TAKEN("share taken");
 
     private final String text;
 
--- a/daemon/src/main/java/lupinvalve/cli/Daemon.java
+++ b/daemon/src/main/java/lupinvalve/cli/Daemon.java
@@ -140,9 +140,10 @@
         int sockets = Math.max(MIN_SOCKETS_COUNT, config.sockets() - RESERVED_SOCKETS_COUNT);
         net.setMaxConnections(sockets + CLOSING_SOCKETS_COUNT);
         int clients = Math.min(MAX_CLIENTS_COUNT, sockets * 5 / 9) / protocols;
-        front = new PgFront(pooler, clients);
+        int nodeConnections = Math.min(MAX_NODE_CONNECTIONS_COUNT, sockets * 4 / 9) / protocols;
+        front = new PgFront(pooler, clients, nodeConnections);
         Pool.Bounds bounds = new Pool.Bounds(
-                Math.min(MAX_NODE_CONNECTIONS_COUNT, sockets * 4 / 9) / protocols,
+                nodeConnections,
                 config.site().connectMicros(),
                 config.site().keepaliveMicros() * 7 / 10,
                 HEALTH_CHECK_TIMEOUT_MICROS);
--- a/drills/src/main/java/lupinvalve/drills/DeadlineClients.java
+++ b/drills/src/main/java/lupinvalve/drills/DeadlineClients.java
@@ -79,6 +79,8 @@
             if (keepsConnection) {
                 return connection;
             }
+        } catch (SqlConnection.UnconnectedException e) {
+            recorder.unconnected();
         } catch (SqlConnection.RefusedException e) {
             record(new SqlConnection.Answer(null, e.code), sentNanos, deadlineMillis);
         } catch (SocketTimeoutException | EOFException e) {
--- a/drills/src/main/java/lupinvalve/drills/FloodResult.java
+++ b/drills/src/main/java/lupinvalve/drills/FloodResult.java
@@ -11,6 +11,7 @@
  * @param asked requests of usual clients
  * @param late requests answered over 0.5 s after their deadline
  * @param lost requests never answered
+ * @param unconnected connections that the pooler's machine did not accept in time: nothing of them was taken
  * @param served requests answered with a value before their deadline
  * @param errors answers that were errors, by SQLSTATE
  * @param endings what ended the connections of lost requests, by exception
@@ -22,6 +23,7 @@
         long asked,
         long late,
         long lost,
+        long unconnected,
         long served,
         Map<String, Integer> errors,
         Map<String, Integer> endings,
@@ -48,13 +50,14 @@
     public String json() {
         return String.format(
                 Locale.ROOT,
-                "{\"kind\":\"%s\",\"asked\":%d,\"late\":%d,\"lost\":%d,\"served\":%d,\"errors\":\"%s\",\"endings\":\"%s\","
+                "{\"kind\":\"%s\",\"asked\":%d,\"late\":%d,\"lost\":%d,\"unconnected\":%d,\"served\":%d,\"errors\":\"%s\",\"endings\":\"%s\","
                         + "\"p50_ms\":%.1f,\"p99_ms\":%.1f,\"worst_ms\":%.1f,\"peak_mb\":%d,\"died\":%b,"
                         + "\"flood_mb\":%.1f,\"flood_connections\":%d}",
                 kind.name().toLowerCase(Locale.ROOT).replace('_', '-'),
                 asked,
                 late,
                 lost,
+                unconnected,
                 served,
                 errors,
                 endings,
@@ -74,6 +77,7 @@
         private final Map<String, Integer> endings = new TreeMap<>();
         private long late;
         private long lost;
+        private long unconnected;
         private long served;
 
         synchronized void answered(String errorCode, long micros, boolean isLate, boolean isInTime) {
@@ -86,6 +90,10 @@
             }
         }
 
+        synchronized void unconnected() {
+            unconnected++;
+        }
+
         synchronized void lost(String ending, long micros) {
             tookMicros.recordValue(micros);
             lost++;
@@ -99,6 +107,7 @@
                     tookMicros.getTotalCount(),
                     late,
                     lost,
+                    unconnected,
                     served,
                     new TreeMap<>(errors),
                     new TreeMap<>(endings),
--- a/drills/src/main/java/lupinvalve/drills/SqlConnection.java
+++ b/drills/src/main/java/lupinvalve/drills/SqlConnection.java
@@ -10,6 +10,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
@@ -26,6 +27,15 @@
     private static final int CHUNK_BYTES = 16 << 10;
     private static final int SLOW_RECEIVE_BUFFER_BYTES = 16 << 10;
 
+    /** The pooler's machine did not accept the connection in time. */
+    static final class UnconnectedException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        UnconnectedException(SocketTimeoutException cause) {
+            super(cause);
+        }
+    }
+
     /** The pooler has refused a connection by an error. */
     static final class RefusedException extends IOException {
         private static final long serialVersionUID = 1;
@@ -69,7 +79,7 @@
             if (isSlow) {
                 channel.setOption(StandardSocketOptions.SO_RCVBUF, SLOW_RECEIVE_BUFFER_BYTES);
             }
-            channel.socket().connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_MILLIS);
+            connect(port);
             channel.socket().setSoTimeout(silenceMillis);
             ByteArrayOutputStream first = new ByteArrayOutputStream();
             first.write(startupMessage());
@@ -82,6 +92,14 @@
         }
     }
 
+    private void connect(int port) throws IOException {
+        try {
+            channel.socket().connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_MILLIS);
+        } catch (SocketTimeoutException e) {
+            throw new UnconnectedException(e);
+        }
+    }
+
     /** The first message of a client. */
     static byte[] startupMessage() throws IOException {
         byte[] names = "user\0api\0database\0ledger\0\0".getBytes(UTF_8);
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -326,7 +326,7 @@
 
     private PooledConnection open(Job job, String address) {
         if (connections.size() >= maxConnections && !evict()) {
-            Log.warn("no connection free for db node %s; not sending the request", job.node);
+            warnings.warn("no connection to a db node is free: requests are not sent");
             return null;
         }
         InetSocketAddress target;
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -19,6 +19,7 @@
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.maintenance.ByteBudget;
+import lupinvalve.maintenance.FairAdmission;
 import lupinvalve.maintenance.FairShare;
 import lupinvalve.maintenance.ResourceBudgets;
 import lupinvalve.net.ClientEndLog;
@@ -41,6 +42,8 @@
     private static final int MAX_PIPELINED_REQUESTS = 64;
     /** With this many answers pending, commands without a db node's answer among them, reading pauses. */
     private static final int PAUSE_READING_REPLIES = 1024;
+    /** Of a request's time, the part for which it waits for its client's share is one in this many. */
+    private static final int SHARE_WAIT_DIVISOR = 2;
     /** Memory of a pending answer beside its messages. */
     private static final int REPLY_BYTES = 256;
     /** An answer up to this size is kept in any case: an error in its place would save nothing. */
@@ -62,6 +65,10 @@
     private final HandleTable<Client> clients;
     private final HandleTable<Reply> replies;
     private final int maxClients;
+    private final FairAdmission admission;
+    /** Whether waiting requests are to be looked at when this turn of the core ends. */
+    private boolean isAdmissionDue;
+
     private final IdentityHashMap<Link, Client> byLink = new IdentityHashMap<>();
     private final ClientEviction<Client> clientEviction;
     /** Connections beyond the limit, and whether an error has been sent on them. */
@@ -105,6 +112,8 @@
         /** Bytes of statements that are not answered yet. */
         long statementBytes;
 
+        final FairAdmission.Client admission = new FairAdmission.Client();
+
         Client(Link link, long openedAt) {
             this.link = link;
             this.openedAt = openedAt;
@@ -130,6 +139,8 @@
         long ticket;
 
         int statementBytes;
+        /** Whether the request has been submitted to the pooler. */
+        boolean isSubmitted;
         /** The messages that end the answer; null until they are known. */
         byte[][] messages;
         /** Of a streamed answer: the db node's connection that it comes from; otherwise null. */
@@ -156,12 +167,23 @@
      * @param maxClients connections held at once; those beyond get error 53300 and are closed
      */
     public PgFront(Pooler pooler, int maxClients) {
+        this(pooler, maxClients, maxClients * MAX_PIPELINED_REQUESTS);
+    }
+
+    /**
+     * A frontend without clients.
+     *
+     * @param maxClients connections held at once; those beyond get error 53300 and are closed
+     * @param maxServed requests that db nodes can serve at once: clients share them
+     */
+    public PgFront(Pooler pooler, int maxClients, int maxServed) {
         this.pooler = pooler;
         clients = new HandleTable<>(ClientEviction.tableCapacity(maxClients));
         clientEviction = new ClientEviction<>(
                 pooler.loop(), clients, maxClients, pooler.settings().limits().maxOpenRequests(), this::retire);
         replies = new HandleTable<>(maxClients * 8);
         this.maxClients = maxClients;
+        admission = new FairAdmission(maxServed, pooler::busyRequests);
         clientEndLog = new ClientEndLog(pooler.loop());
         commandMemory = pooler.memory().commands();
         answerMemory = pooler.memory().answers();
@@ -246,6 +268,7 @@
         byCancelKey.remove(client.cancelKey);
         clientEviction.closed(client);
         clients.remove(client.handle);
+        admission.removed(client.admission);
         for (Reply reply : client.pendingReplies) {
             removed(reply);
             if (reply.messages == null) {
@@ -427,12 +450,52 @@
             client.statementBytes += statement.size();
             add(reply);
             reply.ticket = replies.put(reply);
-            reply.request = pooler.submit(this, reply.ticket, request);
+            admission.request(client.admission, () -> start(reply, request));
+            if (!reply.isSubmitted) {
+                long waitMicros = (request.expiresAtMicros() - pooler.loop().now()) / SHARE_WAIT_DIVISOR;
+                pooler.loop().after(waitMicros, () -> refuseWaiting(reply, request));
+            }
         } catch (InvalidStatementException e) {
             answer(client, PgMessages.error("ERROR", "42601", e.getMessage(), null), PgMessages.READY_FOR_QUERY);
         }
     }
 
+    /** Submits a request that has its share; false if it has ended while it waited for that. */
+    private boolean start(Reply reply, ClientRequest request) {
+        if (replies.get(reply.ticket) != reply) {
+            return false;
+        }
+        if (pooler.hasOpenRequest(request.id())) {
+            complete(reply.ticket, PgMessages.error("ERROR", "42601", "field id names an open request", null));
+            return false;
+        }
+        reply.isSubmitted = true;
+        reply.request = pooler.submit(this, reply.ticket, request);
+        return true;
+    }
+
+    /** Rejects a request that its client's share has kept waiting, while the client can still repeat it. */
+    private void refuseWaiting(Reply reply, ClientRequest request) {
+        if (replies.get(reply.ticket) == reply && !reply.isSubmitted) {
+            pooler.refused(request.classIndex(), RefusalReason.SHARE_TAKEN);
+            complete(reply.ticket, rejection(pooler.settings().limits().maxRetryAfterMicros()));
+        }
+    }
+
+    /** A submitted request has ended, so that others may have their share. */
+    private void admissionEnded(Reply reply) {
+        if (reply.isSubmitted) {
+            admission.ended(reply.client.admission);
+        }
+        if (admission.hasWaiting() && !isAdmissionDue) {
+            isAdmissionDue = true;
+            pooler.loop().runAtTurnEnd(() -> {
+                isAdmissionDue = false;
+                admission.admitWaiting();
+            });
+        }
+    }
+
     /** Why a client's request is rejected at once; if it is not, the memory for its statement has been reserved. */
     private Optional<RefusalReason> refusal(Client client, Statement statement) {
         if (client.pendingReplies.size() >= MAX_PIPELINED_REQUESTS) {
@@ -641,6 +704,7 @@
     private void release(Reply reply) {
         commandMemory.add(-reply.statementBytes);
         reply.client.statementBytes -= reply.statementBytes;
+        admissionEnded(reply);
         streamCount -= reply.source != null ? 1 : 0;
     }
 
