Log what clients and db nodes cause at a bounded rate, whatever its details

Cause: errors that db nodes answer with, their protocol violations, and requests left open past their deadline were a line each; a client that sends statements which db nodes refuse wrote a line of the log for each of them.

Change: these are counted by kind and logged once a second with the details of the last one. The texts stay. Lines for each event of an endpoint list stay as they are: discovery paces them.

--- a/core/src/main/java/lupinvalve/core/RequestLifecycle.java
+++ b/core/src/main/java/lupinvalve/core/RequestLifecycle.java
@@ -1,6 +1,6 @@
 package lupinvalve.core;
 
-import lupinvalve.log.Log;
+import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.Metrics;
 import lupinvalve.routing.AttemptOutcome;
 import lupinvalve.routing.LogPosition;
@@ -23,6 +23,7 @@
     private final RequestTable requests;
     private final AttemptTable attempts;
     private final StreamedAnswers streamedAnswers;
+    private final RepeatedWarnings warnings = new RepeatedWarnings();
     private final RouterDriver router;
     private SessionTokenStore sessionTokens = SessionTokenStore.NONE;
     private long shutdownDeadlineMicros = Long.MAX_VALUE;
@@ -134,9 +135,10 @@
     /** Fails a request that the router has left open past its deadline, so that each request is answered in time. */
     private void failOverdue(OpenRequest open) {
         if (!open.closed) {
-            Log.warn(
-                    "request %s: router left it open %d us past its deadline, answering it as failed",
-                    open.routerId, DEADLINE_OVERRUN_MICROS);
+            warnings.warn(
+                    "left open",
+                    "request " + open.routerId + ": router left it open " + DEADLINE_OVERRUN_MICROS
+                            + " us past its deadline, answering it as failed");
             requests.close(open, RequestOutcome.OVERDUE);
             open.frontend.failed(open.ticket);
             router.feed(new RouterEvent.ClientDisconnected(open.routerId));
--- a/core/src/test/java/lupinvalve/core/LogTextsTest.java
+++ b/core/src/test/java/lupinvalve/core/LogTextsTest.java
@@ -4,8 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import lupinvalve.log.Log;
+import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.routing.AttemptOutcome;
 import lupinvalve.routing.Endpoint;
 import lupinvalve.routing.EndpointState;
@@ -18,6 +23,23 @@
                 new Endpoint(id, 1, 0, state, false, startedAtMicros), Map.of("pg", "127.0.0.1:1"));
     }
 
+    /** Guards against clients and db nodes that fill the log with a line for each of their errors. */
+    @Test
+    void warningsOfOneKindAreLoggedOnceASecondWhateverTheirDetails() {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        Log.setOutput(new PrintStream(written, true, StandardCharsets.UTF_8));
+        try {
+            RepeatedWarnings warnings = new RepeatedWarnings();
+            for (int i = 0; i < 10_000; i++) {
+                warnings.warn("SQLSTATE", "db node answered " + i);
+            }
+        } finally {
+            Log.setOutput(System.err);
+        }
+        long lines = written.toString(StandardCharsets.UTF_8).lines().count();
+        assertTrue(lines >= 1 && lines <= 3, lines + " lines");
+    }
+
     @Test
     void summaryCountsOutcomesRetriesAndFailedAttemptsByDbNode() {
         RequestSummary summary = new RequestSummary();
--- a/log/src/main/java/lupinvalve/log/RepeatedWarnings.java
+++ b/log/src/main/java/lupinvalve/log/RepeatedWarnings.java
@@ -21,15 +21,24 @@
     private final Map<String, Occurrences> byText = new HashMap<>();
 
     /** Logs a warning, or counts it for a later line. */
-    public synchronized void warn(String text) {
+    public void warn(String text) {
+        warn(text, text);
+    }
+
+    /**
+     * Logs a warning, or counts it for a later line that has the details of the last one.
+     *
+     * @param kind what the warning is counted as; not chosen by a peer
+     */
+    public synchronized void warn(String kind, String text) {
         long now = System.nanoTime();
-        Occurrences occurrences = byText.get(text);
+        Occurrences occurrences = byText.get(kind);
         if (occurrences == null) {
             if (byText.size() >= MAX_TEXTS_COUNT) {
                 byText.clear();
             }
             occurrences = new Occurrences();
-            byText.put(text, occurrences);
+            byText.put(kind, occurrences);
             occurrences.loggedAtNanos = now;
             Log.warn("%s", text);
             return;
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlBackend.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import lupinvalve.core.LogPositionParser;
 import lupinvalve.core.Pooler;
-import lupinvalve.log.Log;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Pool;
@@ -130,7 +129,7 @@
 
     /** Closes a connection whose db node violated the protocol: what it sends can no longer be interpreted. */
     private void protocolError(MysqlConn conn, String why) {
-        Log.warn("db node violated MySQL's protocol: %s; its connection is closed", why);
+        warn("protocol violation", "db node violated MySQL's protocol: " + why + "; its connection is closed");
         conn.errorOutcome = null;
         closeBroken(conn);
     }
@@ -224,9 +223,10 @@
         int params = (int) in.fixedInt(2);
         if (params != request.valueCount()) {
             conn.state = State.IDLE;
-            Log.warn(
-                    "db node found %d placeholders in a statement where the pooler found %d; the attempt fails",
-                    params, request.valueCount());
+            warn(
+                    "placeholders",
+                    "db node found " + params + " placeholders in a statement where the pooler found "
+                            + request.valueCount() + "; the attempt fails");
             completeJob(conn, false, AttemptOutcome.ERROR, null, LogPosition.UNKNOWN, ServerRole.UNKNOWN);
             return;
         }
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -12,7 +12,6 @@
 import lupinvalve.core.HandleTable;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.TimerQueue;
-import lupinvalve.log.Log;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.ResourceBudgets;
 import lupinvalve.routing.AttemptOutcome;
@@ -209,13 +208,24 @@
 
     // ---- called by a protocol ----
 
+    /**
+     * Logs a warning at a bounded rate, as clients and db nodes choose how often its cause occurs.
+     *
+     * @param kind what it is counted as
+     */
+    protected final void warn(String kind, String text) {
+        warnings.warn(kind, text);
+    }
+
     /** The db node accepts requests on this connection from now on: starts its job or makes the connection idle. */
     protected final void connectionReady(PooledConnection connection) {
         if (connection.ready) {
             return;
         }
         if (connection.hasMoreInput) {
-            Log.warn("db node %s sent data after its greeting; closing the connection", connection.node);
+            warn(
+                    "data after greeting",
+                    "db node " + connection.node + " sent data after its greeting; closing the connection");
             closeBroken(connection);
             return;
         }
@@ -333,7 +343,9 @@
         try {
             target = Addresses.parse(address);
         } catch (IllegalArgumentException e) {
-            Log.warn("db node %s: invalid address: %s; not sending the request", job.node, e.getMessage());
+            warn(
+                    "invalid address",
+                    "db node " + job.node + ": invalid address: " + e.getMessage() + "; not sending the request");
             return null;
         }
         PooledConnection connection = connect(job.node);
@@ -532,13 +544,16 @@
             for (int i = 0; i < messages.size() && connections.get(connection.slot) == connection; i++) {
                 connection.hasMoreInput = i + 1 < messages.size() || link.hasMoreInput();
                 if (connection.ready && connection.job == null) {
-                    Log.warn("db node %s sent data without a request; closing the connection", connection.node);
+                    warn(
+                            "data without request",
+                            "db node " + connection.node + " sent data without a request; closing the connection");
                     closeBroken(connection);
                 } else if (connection.sent && link.bytesSentAtRead() < connection.bytesThroughRequest) {
                     // It was received before the request was written: a duplicate, or the rest of an earlier answer.
-                    Log.warn(
-                            "db node %s sent an answer before its request was written; closing the connection",
-                            connection.node);
+                    warn(
+                            "early answer",
+                            "db node " + connection.node
+                                    + " sent an answer before its request was written; closing the connection");
                     closeBroken(connection);
                 } else {
                     message(connection, messages.get(i));
@@ -548,7 +563,9 @@
 
         @Override
         public void malformed(Link link, String why) {
-            Log.warn("db node %s: malformed input: %s; closing the connection", connection.node, why);
+            warn(
+                    "malformed input",
+                    "db node " + connection.node + ": malformed input: " + why + "; closing the connection");
             closeBroken(connection);
         }
 
--- a/pg/src/main/java/lupinvalve/pg/PgBackend.java
+++ b/pg/src/main/java/lupinvalve/pg/PgBackend.java
@@ -6,7 +6,6 @@
 import lupinvalve.core.LogPositionParser;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.Statement;
-import lupinvalve.log.Log;
 import lupinvalve.net.Dialer;
 import lupinvalve.net.Framer;
 import lupinvalve.net.Pool;
@@ -121,9 +120,10 @@
         }
         if (pgConn.answerBytes > MAX_ANSWER_BYTES || !isValid) {
             // The request may have run, and where the next answer would start in the stream is unknown.
-            Log.warn(
-                    "db node sent an invalid, unexpected or oversized message of type %s; its connection is closed",
-                    (char) message[0]);
+            warn(
+                    "invalid message",
+                    "db node sent an invalid, unexpected or oversized message of type " + (char) message[0]
+                            + "; its connection is closed");
             pgConn.errorOutcome = null;
             closeBroken(pgConn);
         }
@@ -244,16 +244,17 @@
     }
 
     /** The outcome that an ErrorResponse stands for. */
-    private static AttemptOutcome outcomeOf(byte[] message) {
+    private AttemptOutcome outcomeOf(byte[] message) {
         String code = PgMessages.errorField(message, 'C');
         return switch (code) {
             case "25006", "72000" -> AttemptOutcome.MISDIRECTED;
             case "53300", "57P03" -> AttemptOutcome.REJECTED;
             case "XX000" -> AttemptOutcome.ERROR;
             default -> {
-                Log.warn(
-                        "db node answered with SQLSTATE %s: %s; the attempt counts as failed",
-                        code, PgMessages.errorField(message, 'M'));
+                warn(
+                        "SQLSTATE",
+                        "db node answered with SQLSTATE " + code + ": " + PgMessages.errorField(message, 'M')
+                                + "; the attempt counts as failed");
                 yield AttemptOutcome.ERROR;
             }
         };
