Change what a socket is watched for on its own thread alone

What callers saw: rarely, a connection was never read again, or its answer never written; a client that had sent much got no further answer.

Cause: MINA's updateTrafficControl reads the set of what a socket is watched for and writes it back changed, on the caller's thread. The core pauses and resumes reading while the sockets' thread pauses reading or watches for room to write, so one of two changes was lost: reading counted as resumed, and the selector did not watch for it. Every flood pauses reading often.

Change: the processor queues such changes for its own thread.

The suite plays 20 rounds.

--- a/daemon/src/test/java/lupinvalve/net/UnreadDepartureTest.java
+++ b/daemon/src/test/java/lupinvalve/net/UnreadDepartureTest.java
@@ -12,6 +12,7 @@
 import java.util.function.UnaryOperator;
 import lupinvalve.integration.DbNode;
 import lupinvalve.integration.World;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 /** Clients that leave while much of their input is unread. */
@@ -20,6 +21,7 @@
     /** An empty statement. */
     private static final byte[] EMPTY = {'Q', 0, 0, 0, 5, 0};
 
+    private static final int ROUNDS = 20;
     private static final int EMPTY_COUNT = 400_000;
 
     private static void sendEmptyStatements(Socket client) throws IOException {
@@ -55,8 +57,11 @@
         }
     }
 
-    /** Guards against a check that refuses requests of a client whose input is read at once. */
-    @Test
+    /**
+     * Guards against a check that refuses requests of a client whose input is read at once, and against a connection
+     * that is never read again after a pause, which takes several rounds to show.
+     */
+    @RepeatedTest(ROUNDS)
     void requestsBehindMuchOtherInputAreServedWhileTheirClientStays() throws Exception {
         try (DbNode primary = new DbNode("p", true);
                 HeldCore pooler = new HeldCore(UNCHANGED, entry(primary, "p", 0));
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -183,6 +183,9 @@
     public static class Processor extends NioProcessor {
         private final Queue<NioSession> pendingCloses = new ConcurrentLinkedQueue<>();
         private final Queue<NioSession> pendingReads = new ConcurrentLinkedQueue<>();
+        private final Queue<NioSession> pendingInterestChanges = new ConcurrentLinkedQueue<>();
+        /** The thread that runs this processor; MINA may end it and start another. */
+        private volatile Thread thread;
         /** Which connections took the thread's time, for the log. */
         private final TimeUsage usage = new TimeUsage(nowMicros());
 
@@ -246,6 +249,12 @@
         }
 
         private int selectAfterCloses(long timeout) throws Exception {
+            thread = Thread.currentThread();
+            for (NioSession session = pendingInterestChanges.poll();
+                    session != null;
+                    session = pendingInterestChanges.poll()) {
+                super.updateTrafficControl(session);
+            }
             for (NioSession session = pendingCloses.poll(); session != null; session = pendingCloses.poll()) {
                 readBeforeClose(session);
             }
@@ -266,6 +275,21 @@
             wakeup();
         }
 
+        /**
+         * Has this thread watch a session for reading and writing as its state says now; any thread. MINA reads and
+         * then writes the set of what is watched for, so changes of two threads could undo each other, and the session
+         * would never be read or written again.
+         */
+        @Override
+        public void updateTrafficControl(NioSession session) {
+            if (Thread.currentThread() == thread) {
+                super.updateTrafficControl(session);
+            } else {
+                pendingInterestChanges.add(session);
+                wakeup();
+            }
+        }
+
         private void scheduleRead(NioSession session) {
             pendingReads.add(session);
             wakeup();
