Let floods be among the troubles of a soak, and measure what is served without one

Change: each four seconds of a soak have a flood of one kind without valid requests, four clients at full speed on one pooler, drawn apart from the other faults, which stay as they were for a seed; "floods" counts them. "lab throughput" measures pipelined requests a second of one connection, requests a second and p99 of 50, and the processor time of a start, for the tree it is run in. What it shares with "lab flood" is RunScriptPooler.

--- a/drills/src/main/java/lupinvalve/drills/DeadlineClients.java
+++ b/drills/src/main/java/lupinvalve/drills/DeadlineClients.java
@@ -122,7 +122,7 @@
                         ? "INSERT INTO rows (handle, blob) VALUES ('" + id + "', '\\x9f') RETURNING blob"
                         : "SELECT blob FROM rows WHERE handle = '" + id + "'")
                 + " /* id=" + id + ",c=" + (write ? "pickup-booking" : "own-order-view")
-                + ",t=almaty-branch,d=" + deadlineMillis + ",cluster=" + number % FloodDrill.GROUPS + " */";
+                + ",t=almaty-branch,d=" + deadlineMillis + ",cluster=" + number % RunScriptPooler.GROUPS + " */";
     }
 
     void stop() throws InterruptedException {
--- a/drills/src/main/java/lupinvalve/drills/Drill.java
+++ b/drills/src/main/java/lupinvalve/drills/Drill.java
@@ -213,6 +213,7 @@
     private int socketLimit;
 
     private final IdleClients idleClients = new IdleClients();
+    private final Floods floods = new Floods();
     private final StallMonitor stallMonitor = new StallMonitor(() -> over);
 
     /** Opens ports, proxies and stand-ins and writes the poolers' files; starts no process. */
@@ -488,6 +489,7 @@
             }
             case CLOCK, CALLS -> systemFaults(pooler(step.who()), step, on);
             case CROWD -> idleClients.act(pooler(step.who()).clientPort, (int) step.amount(), on);
+            case FLOOD -> floods.act(pooler(step.who()).clientPort, (int) step.amount(), on);
             case LIST_SILENT -> {
                 if (on && pooler(step.who()).list.silenceWatches()) {
                     drains.watchFellSilent(step.who(), System.currentTimeMillis());
@@ -661,6 +663,7 @@
     public void close(boolean keep) throws IOException {
         over = true;
         idleClients.close();
+        floods.close();
         for (Pooler pooler : poolers) {
             pooler.process.close();
             pooler.list.close();
--- a/drills/src/main/java/lupinvalve/drills/DrillResult.java
+++ b/drills/src/main/java/lupinvalve/drills/DrillResult.java
@@ -126,7 +126,7 @@
                 Locale.ROOT,
                 "\"late_after_departure\":%d,\"late_after_drain\":%d,\"late_unanswered\":%d,"
                         + "\"late_starting\":%d,\"late_silent\":%d,\"rig_stall_max_ms\":%d,\"cold_overrun\":%d,\"restarts_timed\":%d,"
-                        + "\"not_ready_10s\":%d,\"drains\":%d,\"silences\":%d,\"overloads\":%d,\"overload_calls\":%d,"
+                        + "\"not_ready_10s\":%d,\"drains\":%d,\"silences\":%d,\"floods\":%d,\"overloads\":%d,\"overload_calls\":%d,"
                         + "\"overload_calls_failed\":%d",
                 times.lateAfterDeparture(),
                 times.lateAfterDrain(),
@@ -139,6 +139,7 @@
                 times.notReady(),
                 count(Step.Kind.NODE_DRAIN),
                 count(Step.Kind.LIST_SILENT),
+                count(Step.Kind.FLOOD),
                 count(Step.Kind.OVERLOAD),
                 run.calls().calls(),
                 run.calls().failed());
--- a/drills/src/main/java/lupinvalve/drills/Scenario.java
+++ b/drills/src/main/java/lupinvalve/drills/Scenario.java
@@ -365,6 +365,9 @@
         if (mix == Mix.CROSSING || mix == Mix.SOAK) {
             steps.addAll(Release.draw(poolers, groups, millis, seed));
         }
+        if (mix == Mix.SOAK) {
+            steps.addAll(Floods.draw(poolers, millis, seed));
+        }
         return new Scenario(poolers, groups, steps);
     }
 
--- a/drills/src/main/java/lupinvalve/drills/Step.java
+++ b/drills/src/main/java/lupinvalve/drills/Step.java
@@ -34,6 +34,8 @@
         CALLS(false, true),
         /** This many connections are opened and left idle. */
         CROWD(false, true),
+        /** Clients send input of one kind at full speed: that of {@link Floods#KINDS} with this number, from 1. */
+        FLOOD(false, true),
         /** SIGHUP while the configuration file is half written, and again when it is complete. */
         RELOAD(false, false),
         /** SIGSTOP, and SIGCONT when the step is undone. */
--- a/lab/src/main/java/lupinvalve/lab/Lab.java
+++ b/lab/src/main/java/lupinvalve/lab/Lab.java
@@ -29,7 +29,7 @@
             required = true,
             metaVar = "COMMAND",
             usage =
-                    "disk, faults, process-points, process-drill, soak, fleet-soak, flood, audit-drill, store-drill, store-bench, store-cost, scale or capacity",
+                    "disk, faults, process-points, process-drill, soak, fleet-soak, flood, throughput, audit-drill, store-drill, store-bench, store-cost, scale or capacity",
             handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "disk", impl = Disk.class),
@@ -39,6 +39,7 @@
         @SubCommand(name = "soak", impl = SoakCommand.class),
         @SubCommand(name = "fleet-soak", impl = FleetSoakCommand.class),
         @SubCommand(name = "flood", impl = FloodCommand.class),
+        @SubCommand(name = "throughput", impl = ThroughputCommand.class),
         @SubCommand(name = "audit-drill", impl = AuditDrillCommand.class),
         @SubCommand(name = "store-drill", impl = StoreDrill.class),
         @SubCommand(name = "store-bench", impl = StoreBench.class),
@@ -80,6 +81,7 @@
             err.println(
                     "       lab flood [--kind KIND[,KIND]|all] [--flooders N] [--clients N] [--seconds N] [--seed N] [--core N] "
                             + "[--log-lines N]");
+            err.println("       lab throughput [--seconds N] [--core N]");
             err.println(
                     "       lab audit-drill [--poolers N] [--seconds N] [--seed N] [--at-lease-end fence|serve] [--keep] [--json]");
             err.println(
