Take less time for a request's bookkeeping, and flood more kinds in the suite

Method handles on a byte buffer for each of 32 places of an id, a table look-up for each read and write, three more looks at the clock a task, a growing buffer for each answer.

Change: ids of one process are in an atomic array, and only those that two processes share in a mapped file; a connection holds its share of a thread's time itself; the event loop reads the clock twice a task; answers are joined by parts. Seven more kinds of flood are tests.

--- a/core/src/main/java/lupinvalve/core/EventLoop.java
+++ b/core/src/main/java/lupinvalve/core/EventLoop.java
@@ -27,12 +27,12 @@
 
     /** A connection, or another origin of tasks: its tasks run in their order, and share one turn of the thread. */
     public static final class Source {
-        private final TimeUsage.User user;
+        private final TimeUsage.Share share;
         private final FairQueue.Flow<PostedTask> flow = new FairQueue.Flow<>();
 
         /** @param user who the time of its tasks is ascribed to in the log; null for the program itself */
         public Source(TimeUsage.User user) {
-            this.user = user;
+            share = user == null ? null : new TimeUsage.Share(user);
         }
     }
 
@@ -60,6 +60,8 @@
     private PostedTask runningTask;
 
     private long taskStartMicros;
+    /** The time as this thread last read it. */
+    private long nowMicros;
 
     /** Creates the core's event loop. */
     public EventLoop() {
@@ -171,19 +173,20 @@
         if (tasks.size() == 0) {
             awaitTask();
         }
+        nowMicros = now();
         takePosted();
         // Timers run after posted tasks, so that an answer that has already arrived takes precedence over its timeout;
         // but not after all that a flood has left to do.
-        long startMicros = now();
+        long flushedMicros = nowMicros;
         for (int i = 0; i < TASKS_PER_TURN_COUNT && (i == 0 || tasks.hasSparse() || !isTimerDue()); i++) {
             PostedTask task = tasks.poll();
             if (task == null) {
                 break;
             }
             runPosted(task);
-            if (now() - startMicros >= FLUSH_AFTER_MICROS) {
+            if (nowMicros - flushedMicros >= FLUSH_AFTER_MICROS) {
                 endTurn();
-                startMicros = now();
+                flushedMicros = nowMicros;
             }
             takePosted();
         }
@@ -205,17 +208,13 @@
     }
 
     private void takePosted() {
-        if (posted.isEmpty()) {
-            return;
-        }
-        long now = now();
         for (PostedTask task = posted.poll(); task != null; task = posted.poll()) {
-            tasks.add(task.source().flow, task, now);
+            tasks.add(task.source().flow, task, nowMicros);
         }
     }
 
     private boolean isTimerDue() {
-        return timers.nextAtMicros() <= now();
+        return timers.nextAtMicros() <= nowMicros;
     }
 
     private void runDueTimers() {
@@ -238,9 +237,9 @@
         currentTaskDelayMicros = startMicros - next.postedAtMicros();
         usage.waited(currentTaskDelayMicros);
         runGuarded(next.task());
-        long endMicros = now();
-        tasks.charge(endMicros - startMicros, endMicros);
-        usage.took(next.source().user, endMicros - startMicros);
+        nowMicros = now();
+        tasks.charge(nowMicros - startMicros, nowMicros);
+        usage.took(next.source().share, nowMicros - startMicros);
     }
 
     private void endTurn() {
--- a/core/src/main/java/lupinvalve/core/Statement.java
+++ b/core/src/main/java/lupinvalve/core/Statement.java
@@ -5,14 +5,11 @@
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import lupinvalve.routing.RequestClass;
 
 /**
@@ -23,8 +20,7 @@
  */
 public final class Statement {
     /** The fields that are read; a statement may have any number of others, which are not kept. */
-    private static final Map<String, byte[]> FIELD_NAMES = Stream.of("id", "c", "cluster", "d", "r", "after")
-            .collect(Collectors.toMap(n -> n, n -> n.getBytes(UTF_8)));
+    private static final List<String> FIELD_NAMES = List.of("id", "c", "cluster", "d", "r", "after");
 
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
     private static final int MAX_ID_CHARS = 128;
@@ -103,18 +99,25 @@
         while (end > start && text[end - 1] >= 0 && text[end - 1] <= ' ') {
             end--;
         }
-        for (Map.Entry<String, byte[]> name : FIELD_NAMES.entrySet()) {
-            byte[] bytes = name.getValue();
-            if (Arrays.equals(text, start, end, bytes, 0, bytes.length)) {
-                return name.getKey();
+        for (int i = 0; i < FIELD_NAMES.size(); i++) {
+            if (isText(start, end, FIELD_NAMES.get(i))) {
+                return FIELD_NAMES.get(i);
             }
         }
         return null;
     }
 
+    private boolean isText(int from, int to, String expected) {
+        boolean isEqual = to - from == expected.length();
+        for (int i = 0; isEqual && i < expected.length(); i++) {
+            isEqual = text[from + i] == expected.charAt(i);
+        }
+        return isEqual;
+    }
+
     /** Sets a field sent outside the text, such as a query attribute; it overrides the field in the comment. */
     public void set(String name, String value) {
-        if (FIELD_NAMES.containsKey(name)) {
+        if (FIELD_NAMES.contains(name)) {
             fields.put(name, value);
         }
     }
--- a/drills/src/test/java/lupinvalve/drills/FloodTest.java
+++ b/drills/src/test/java/lupinvalve/drills/FloodTest.java
@@ -40,4 +40,39 @@
     void tlsRequestsAtFullSpeedDelayNoOtherClient() throws Exception {
         assertAnsweredInTime(FloodKind.TLS);
     }
+
+    @Test
+    void answersThatAFloodDoesNotReadLeaveRoomForOtherClients() throws Exception {
+        assertAnsweredInTime(FloodKind.UNREAD);
+    }
+
+    @Test
+    void statementsWrittenByteByByteDelayNoOtherClient() throws Exception {
+        assertAnsweredInTime(FloodKind.TRICKLE);
+    }
+
+    @Test
+    void headsOfManyShortFieldsDelayNoOtherClientAndStayWithinTheMemory() throws Exception {
+        assertAnsweredInTime(FloodKind.FIELDS_SOUND);
+    }
+
+    @Test
+    void validRequestsAtFullSpeedLeaveOthersTheirShare() throws Exception {
+        assertAnsweredInTime(FloodKind.SOUND);
+    }
+
+    @Test
+    void everNewConnectionsDelayNoOtherClient() throws Exception {
+        assertAnsweredInTime(FloodKind.CONNECT);
+    }
+
+    @Test
+    void mysqlCommandsAtFullSpeedDelayNoOtherClient() throws Exception {
+        assertAnsweredInTime(FloodKind.MYSQL_PING);
+    }
+
+    @Test
+    void queriesThatAreSlowToRecogniseDelayNoOtherClient() throws Exception {
+        assertAnsweredInTime(FloodKind.MYSQL_VARIABLES);
+    }
 }
--- a/maintenance/src/main/java/lupinvalve/maintenance/SentIds.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/SentIds.java
@@ -1,11 +1,8 @@
 package lupinvalve.maintenance;
 
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.VarHandle;
-import java.nio.ByteBuffer;
-import java.nio.ByteOrder;
 import java.security.SecureRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
  * Remembers the ids of requests that may have been sent to a db node, so that none is sent again for a client that uses
@@ -17,13 +14,12 @@
  * and processes.
  */
 public final class SentIds {
-    /** Size of the memory. */
-    public static final int MEMORY_BYTES = (1 << 16) * Long.BYTES + Long.BYTES;
+    /** Words of memory that the table needs. */
+    public static final int WORDS_COUNT = (1 << 16) + 1;
 
     /** How long an id is kept. */
     public static final long KEPT_MILLIS = TimeUnit.SECONDS.toMillis(10);
 
-    private static final VarHandle WORD = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
     private static final int SLOT_BITS = 16;
     private static final int SLOT_MASK = (1 << SLOT_BITS) - 1;
     /** The places that an id may have. */
@@ -38,20 +34,44 @@
     private static final long HASH_MULTIPLIER = 0x9E3779B97F4A7C15L;
     private static final int HASH_SHIFT = 32;
 
-    private final ByteBuffer memory;
+    private final Words words;
     private final long hashSeed;
 
+    /** Memory of {@link #WORDS_COUNT} words, zero at first; processes may share it. */
+    public interface Words {
+        /** The word at an index, as it was last written by any thread or process. */
+        long get(int index);
+
+        /** Replaces a word if it is as expected; returns whether it was. */
+        boolean compareAndSet(int index, long expected, long replacement);
+    }
+
+    /** The memory of this process alone. */
+    private static final class OwnWords implements Words {
+        private final AtomicLongArray words = new AtomicLongArray(WORDS_COUNT);
+
+        @Override
+        public long get(int index) {
+            return words.get(index);
+        }
+
+        @Override
+        public boolean compareAndSet(int index, long expected, long replacement) {
+            return words.compareAndSet(index, expected, replacement);
+        }
+    }
+
     /** Ids of this process alone. */
     public SentIds() {
-        this(ByteBuffer.allocateDirect(MEMORY_BYTES));
+        this(new OwnWords());
     }
 
-    /** @param memory direct or mapped memory of {@link #MEMORY_BYTES}, zero at first; processes may share it */
-    public SentIds(ByteBuffer memory) {
-        this.memory = memory;
+    /** Ids in memory that processes may share. */
+    public SentIds(Words words) {
+        this.words = words;
         // The first word is the seed of the hash, which clients must not know.
-        WORD.compareAndSet(memory, 0, 0L, new SecureRandom().nextLong() | 1);
-        hashSeed = (long) WORD.getVolatile(memory, 0);
+        words.compareAndSet(0, 0, new SecureRandom().nextLong() | 1);
+        hashSeed = words.get(0);
     }
 
     /** Takes an id; false if it has been taken before. */
@@ -64,8 +84,8 @@
             if (place < 0) {
                 return false;
             }
-            long former = (long) WORD.getVolatile(memory, place);
-            if (!isKept(former, tag, nowMillis) && WORD.compareAndSet(memory, place, former, entry)) {
+            long former = words.get(place);
+            if (!isKept(former, tag, nowMillis) && words.compareAndSet(place, former, entry)) {
                 return true;
             }
         }
@@ -77,16 +97,16 @@
         long tag = hash & ~TIME_MASK;
         for (int i = 0; i < PROBES_COUNT; i++) {
             int place = place(hash, i);
-            long entry = (long) WORD.getVolatile(memory, place);
+            long entry = words.get(place);
             if (isKept(entry, tag, nowMillis)) {
-                WORD.compareAndSet(memory, place, entry, 0L);
+                words.compareAndSet(place, entry, 0L);
             }
         }
     }
 
     private static int place(long hash, int probe) {
         int step = (int) (hash >>> SLOT_BITS) | 1;
-        return Long.BYTES * (1 + ((int) hash + probe * step & SLOT_MASK));
+        return 1 + ((int) hash + probe * step & SLOT_MASK);
     }
 
     /** The place for an id: a free one, or that of the oldest entry; negative if the id is there already. */
@@ -96,7 +116,7 @@
         long oldestAge = -1;
         for (int i = 0; i < PROBES_COUNT; i++) {
             int place = place(hash, i);
-            long entry = (long) WORD.getVolatile(memory, place);
+            long entry = words.get(place);
             if (isKept(entry, tag, nowMillis)) {
                 return -1;
             }
--- a/maintenance/src/main/java/lupinvalve/maintenance/TimeUsage.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/TimeUsage.java
@@ -1,10 +1,9 @@
 package lupinvalve.maintenance;
 
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.stream.Collectors;
 
 /**
@@ -32,12 +31,25 @@
     private static final double MICROS_PER_SECOND = 1e6;
     private static final int MICROS_PER_MILLI = 1000;
 
-    private static final class Share {
+    /** What one user took of one thread; kept by the user. */
+    public static final class Share {
+        private final User user;
+        /** The period that the figures are of. */
+        private long period = -1;
+
         private long micros;
         private long turns;
+
+        /** A share of a thread of which nothing was taken. */
+        public Share(User user) {
+            this.user = user;
+        }
     }
 
-    private final Map<User, Share> byUser = new IdentityHashMap<>();
+    /** Users that took time in this period. */
+    private final List<Share> shares = new ArrayList<>();
+
+    private long period;
     private long turns;
     private long periodStartMicros;
     private long busyMicros;
@@ -51,22 +63,37 @@
     /**
      * Records that a user took time of the thread.
      *
-     * @param user null for work of the program itself
+     * @param share the user's, for this thread; null for work of the program itself
      */
-    public void took(User user, long micros) {
+    public void took(Share share, long micros) {
         busyMicros += micros;
         turns++;
-        if (user == null) {
+        if (share == null) {
             return;
         }
-        if (byUser.size() >= MAX_USERS_COUNT) {
-            byUser.values().removeIf(share -> share.micros <= busyMicros / FORGOTTEN_DIVISOR);
+        if (share.period != period) {
+            register(share);
         }
-        Share share = byUser.computeIfAbsent(user, key -> new Share());
         share.micros += micros;
         share.turns++;
     }
 
+    private void register(Share share) {
+        if (shares.size() >= MAX_USERS_COUNT) {
+            shares.removeIf(this::isForgotten);
+        }
+        shares.add(share);
+        share.period = period;
+        share.micros = 0;
+        share.turns = 0;
+    }
+
+    private boolean isForgotten(Share share) {
+        boolean isSmall = share.micros <= busyMicros / FORGOTTEN_DIVISOR;
+        share.period = isSmall ? -1 : share.period;
+        return isSmall;
+    }
+
     /** Records how long work waited for the thread. */
     public void waited(long micros) {
         longestWaitMicros = Math.max(longestWaitMicros, micros);
@@ -80,7 +107,8 @@
     /** Ends the period and starts the next; returns a summary, or an empty text if nothing waited for long. */
     public String take(long nowMicros) {
         String text = longestWaitMicros >= LOGGED_WAIT_MICROS ? summary(nowMicros - periodStartMicros) : "";
-        byUser.clear();
+        shares.clear();
+        period++;
         turns = 0;
         busyMicros = 0;
         longestWaitMicros = 0;
@@ -89,15 +117,14 @@
     }
 
     private String summary(long periodMicros) {
-        List<Map.Entry<User, Share>> most = byUser.entrySet().stream()
-                .sorted(Comparator.comparingLong(entry -> -entry.getValue().micros))
+        List<Share> most = shares.stream()
+                .sorted(Comparator.comparingLong(share -> -share.micros))
                 .limit(NAMED_USERS_COUNT)
                 .toList();
         String named = most.stream()
-                .map(entry -> entry.getKey().label() + " " + seconds(entry.getValue().micros) + " in "
-                        + entry.getValue().turns + " turns, ")
+                .map(share -> share.user.label() + " " + seconds(share.micros) + " in " + share.turns + " turns, ")
                 .collect(Collectors.joining());
-        long ofNamed = most.stream().mapToLong(entry -> entry.getValue().micros).sum();
+        long ofNamed = most.stream().mapToLong(share -> share.micros).sum();
         return "longest wait " + longestWaitMicros / MICROS_PER_MILLI + " ms, busy " + seconds(busyMicros) + " of "
                 + seconds(periodMicros) + " in " + turns + " turns; " + named + "others "
                 + seconds(busyMicros - ofNamed);
--- a/maintenance/src/test/java/lupinvalve/maintenance/SentIdsTest.java
+++ b/maintenance/src/test/java/lupinvalve/maintenance/SentIdsTest.java
@@ -4,9 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.ByteBuffer;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLongArray;
 import org.junit.jupiter.api.Test;
 
 /** An id is claimed once, by whichever process comes first. */
@@ -33,15 +33,29 @@
 
     @Test
     void twoProcessesThatShareMemoryClaimAnIdOnce() {
-        ByteBuffer shared = ByteBuffer.allocateDirect(SentIds.MEMORY_BYTES);
-        SentIds first = new SentIds(shared);
-        SentIds second = new SentIds(shared.duplicate());
+        AtomicLongArray shared = new AtomicLongArray(SentIds.WORDS_COUNT);
+        SentIds first = new SentIds(words(shared));
+        SentIds second = new SentIds(words(shared));
         assertTrue(first.claim("a", START_MILLIS));
         assertFalse(second.claim("a", START_MILLIS + 1));
         assertTrue(second.claim("b", START_MILLIS + 1));
         assertFalse(first.claim("b", START_MILLIS + 2));
     }
 
+    private static SentIds.Words words(AtomicLongArray shared) {
+        return new SentIds.Words() {
+            @Override
+            public long get(int index) {
+                return shared.get(index);
+            }
+
+            @Override
+            public boolean compareAndSet(int index, long expected, long replacement) {
+                return shared.compareAndSet(index, expected, replacement);
+            }
+        };
+    }
+
     /** Ever new ids take no more memory, and drop others only once there are more than the table holds. */
     @Test
     void manyIdsAreKeptAndTheOldestGiveWay() {
--- a/net/src/main/java/lupinvalve/net/Link.java
+++ b/net/src/main/java/lupinvalve/net/Link.java
@@ -1,6 +1,6 @@
 package lupinvalve.net;
 
-import java.io.ByteArrayOutputStream;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -84,6 +84,8 @@
     private static final int MESSAGES_PER_CALL_COUNT = 8;
     /** Memory of a message that waits for the core, beside its bytes. */
     private static final int MESSAGE_OVERHEAD_BYTES = 32;
+    /** A connection keeps room for this many parts of its answers between two turns. */
+    private static final int MAX_KEPT_PARTS_COUNT = 16;
     /** Input of one connection that may wait in the core's queue; reading pauses above it. */
     private static final int QUEUED_MAX_BYTES = 256 << 10;
     /** A connection always gets a buffer of this size, whatever others have sent, and keeps it while it is open. */
@@ -104,6 +106,7 @@
 
     private final EventLoop loop;
     private final EventLoop.Source source = new EventLoop.Source(this);
+    private final TimeUsage.Share ioShare = new TimeUsage.Share(this);
     private final LinkBudgets budgets;
     private final boolean urgent;
     private final Framer framer;
@@ -151,14 +154,16 @@
     private volatile EndReason endReason;
 
     private final long createdAt;
-    private volatile String peerAddress = "?";
+    private volatile SocketAddress peerAddress;
     /** Whether this process has opened the connection. */
     private volatile boolean dialled;
     // Used by the core thread.
     private IoSession session;
     private final Outbound outbound;
-    /** Small parts written in this turn of the core that have not been handed to the socket's thread; null for none. */
-    private ByteArrayOutputStream joined;
+    /** Small parts written in this turn of the core that have not been handed to the socket's thread. */
+    private List<byte[]> joined = new ArrayList<>(0);
+
+    private int joinedBytes;
 
     private boolean isFlushDue;
     private long bytesProcessed;
@@ -308,6 +313,11 @@
         }
     }
 
+    /** What the connection took of the sockets' thread; processor's thread. */
+    TimeUsage.Share ioShare() {
+        return ioShare;
+    }
+
     void setConnectFuture(ConnectFuture future) {
         dialled = true;
         connectFuture = future;
@@ -325,12 +335,12 @@
     /** The connection's kind and its peer's address, for the log; any thread. */
     @Override
     public String label() {
-        return (dialled ? "server " : "client ") + peerAddress;
+        return (dialled ? "server " : "client ") + peer();
     }
 
     /** The session is established; processor's thread. */
     void onOpened(IoSession opened) {
-        peerAddress = String.valueOf(opened.getRemoteAddress()).replaceFirst("^/", "");
+        peerAddress = opened.getRemoteAddress();
         post(() -> {
             if (closed) {
                 opened.closeNow();
@@ -697,7 +707,8 @@
 
     /** The peer's address for the log, or "?" before the connection is open; any thread. */
     public String peer() {
-        return peerAddress;
+        SocketAddress address = peerAddress;
+        return address == null ? "?" : String.valueOf(address).replaceFirst("^/", "");
     }
 
     // ---- the core thread ----
@@ -723,7 +734,8 @@
                 writeJoined(parts, from, i);
                 if (i < parts.length) {
                     flushJoined();
-                    submit(parts[i]);
+                    outbound.onSubmit(parts[i].length);
+                    session.write(IoBuffer.wrap(parts[i]));
                 }
                 from = i + 1;
             }
@@ -762,7 +774,7 @@
 
     /** Bytes written that have not been handed to the socket yet, as the peer does not read; core thread. */
     public long pendingWriteBytes() {
-        return closed ? 0 : outbound.pendingBytes() + joinedBytes();
+        return closed ? 0 : outbound.pendingBytes() + joinedBytes;
     }
 
     /** Whether more is pending than a peer leaves that reads at once; core thread. */
@@ -798,12 +810,12 @@
      */
     private void writeJoined(byte[][] parts, int from, int to) {
         for (int i = from; i < to; i++) {
-            joined = joined == null ? new ByteArrayOutputStream() : joined;
-            joined.writeBytes(parts[i]);
+            joined.add(parts[i]);
+            joinedBytes += parts[i].length;
         }
-        if (dialled || joinedBytes() >= JOIN_BELOW_BYTES) {
+        if (dialled || joinedBytes >= JOIN_BELOW_BYTES) {
             flushJoined();
-        } else if (!isFlushDue && joined != null) {
+        } else if (!isFlushDue && joinedBytes > 0) {
             isFlushDue = true;
             loop.runAtTurnEnd(() -> {
                 isFlushDue = false;
@@ -814,19 +826,20 @@
 
     /** Hands what has been joined to the socket's thread. */
     private void flushJoined() {
-        if (joined != null && !closed && session != null) {
-            submit(joined.toByteArray());
+        if (joinedBytes > 0 && !closed && session != null) {
+            IoBuffer buffer = IoBuffer.allocate(joinedBytes);
+            for (int i = 0; i < joined.size(); i++) {
+                buffer.put(joined.get(i));
+            }
+            outbound.onSubmit(joinedBytes);
+            session.write(buffer.flip());
         }
-        joined = null;
-    }
-
-    private int joinedBytes() {
-        return joined == null ? 0 : joined.size();
-    }
-
-    private void submit(byte[] bytes) {
-        outbound.onSubmit(bytes.length);
-        session.write(IoBuffer.wrap(bytes));
+        if (joined.size() > MAX_KEPT_PARTS_COUNT) {
+            joined = new ArrayList<>(0);
+        } else {
+            joined.clear();
+        }
+        joinedBytes = 0;
     }
 
     /** Whether bytes have been read beyond the messages that are being delivered; core thread. */
--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -211,7 +211,7 @@
             try {
                 return link.read(() -> super.read(session, in));
             } finally {
-                usage.took(link, nowMicros() - startMicros);
+                usage.took(link.ioShare(), nowMicros() - startMicros);
             }
         }
 
@@ -221,7 +221,7 @@
 
         /** Records that the thread has handled input of a connection since a time. */
         private void handledInput(Link link, long startMicros) {
-            usage.took(link, nowMicros() - startMicros);
+            usage.took(link.ioShare(), nowMicros() - startMicros);
         }
 
         /** Ends a turn of the thread: each socket waits for one at most. */
@@ -341,7 +341,7 @@
             try {
                 return super.write(session, out, length);
             } finally {
-                usage.took(link, nowMicros() - startMicros);
+                usage.took(link.ioShare(), nowMicros() - startMicros);
             }
         }
 
