Bound each client's share of prepared statements, and each answer's of what is received

Cause: two budgets had no share yet: one MySQL client's values could take all the memory for what clients send ahead, and a few long answers that are being received all the memory for answers, so that another's short one was dropped with its db node's connection.

Change: values, and statements over 4 KB, are within their client's FairShare. An answer that is being received gets 16 KiB in any case, and beyond that no more than is free.

--- a/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/AnswerBudget.java
@@ -19,6 +19,9 @@
     /** What each client may leave unread, whatever others do: a client that reads at once leaves no more. */
     public static final long GUARANTEED_UNREAD_BYTES = 64 << 10;
 
+    /** What each answer that is being received may take, whatever others take: most are shorter. */
+    public static final long GUARANTEED_INCOMING_BYTES = 16 << 10;
+
     private final long limitBytes;
     private final long unreadLimitBytes;
     private final AtomicLong incomingBytes = new AtomicLong();
@@ -39,6 +42,21 @@
         return true;
     }
 
+    /**
+     * Reserves memory for a further part of an answer that a db node is sending, within the answer's share; false if it
+     * is not available. What each answer is guaranteed is available in any case.
+     *
+     * @param heldBytes what the answer has reserved already
+     */
+    public boolean reserveIncoming(long bytes, long heldBytes) {
+        if (heldBytes + bytes <= GUARANTEED_INCOMING_BYTES) {
+            incomingBytes.addAndGet(bytes);
+            return true;
+        }
+        long taken = incomingBytes.get() + unreadBytes.get();
+        return FairShare.allows(heldBytes, GUARANTEED_INCOMING_BYTES, taken, limitBytes) && reserveIncoming(bytes);
+    }
+
     /** Releases what {@link #reserveIncoming} has reserved. */
     public void releaseIncoming(long bytes) {
         incomingBytes.addAndGet(-bytes);
--- a/maintenance/src/test/java/lupinvalve/maintenance/MemoryBudgetsTest.java
+++ b/maintenance/src/test/java/lupinvalve/maintenance/MemoryBudgetsTest.java
@@ -73,6 +73,21 @@
         assertTrue(answers.reserveIncoming(1));
     }
 
+    /** Guards against a few long answers that leave no memory for another client's short one. */
+    @Test
+    void longAnswersThatAreBeingReceivedLeaveRoomForShortOnes() {
+        AnswerBudget answers = new AnswerBudget(1_000_000);
+        long held = 0;
+        while (answers.reserveIncoming(50_000, held)) {
+            held += 50_000;
+        }
+        assertEquals(550_000, held);
+        assertTrue(answers.reserveIncoming(400_000, 0));
+        assertFalse(answers.reserveIncoming(100_000, 0));
+        assertTrue(answers.reserveIncoming(10_000, 0));
+        assertFalse(answers.reserveIncoming(10_000, 100_000));
+    }
+
     @Test
     void aRefusedReservationTakesNothing() {
         ByteBudget budget = new ByteBudget(10);
--- a/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
+++ b/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
@@ -23,6 +23,8 @@
     private static final int TOO_MANY_STATEMENTS = 1461;
     private static final int WRONG_ARGUMENTS = 1210;
     private static final int UNKNOWN_STATEMENT = 1243;
+    /** A statement up to this size is not held against its client's share of the memory. */
+    private static final int SHORT_STATEMENT_BYTES = 4096;
     /** Memory of a prepared statement beside its text. */
     private static final int STATEMENT_BYTES = 256;
 
@@ -31,6 +33,9 @@
     private final MysqlClient client;
     private final ByteBudget memory;
     private final Map<Long, Prepared> statements = new HashMap<>();
+    /** What the client's statements and values take of the memory. */
+    private long heldBytes;
+
     private long lastId;
 
     private static final class Prepared {
@@ -67,6 +72,28 @@
         this.memory = memory;
     }
 
+    /**
+     * Reserves bytes within the client's share, or releases them if the number is negative; false if there are none.
+     */
+    private boolean reserve(long bytes) {
+        return count(bytes, bytes <= 0 ? memory.reserve(bytes) : memory.reserve(bytes, heldBytes));
+    }
+
+    /** As {@link #reserve}; short statements need no share, as a client can have few of them. */
+    private boolean reserveStatement(long bytes) {
+        return bytes <= SHORT_STATEMENT_BYTES ? count(bytes, memory.reserve(bytes)) : reserve(bytes);
+    }
+
+    private boolean count(long bytes, boolean isReserved) {
+        heldBytes += isReserved ? bytes : 0;
+        return isReserved;
+    }
+
+    private void release(long bytes) {
+        memory.add(-bytes);
+        heldBytes -= bytes;
+    }
+
     /**
      * Answers COM_STMT_PREPARE without a db node: a prepare runs nothing, and need not name the cluster from which a db
      * node would be chosen.
@@ -74,7 +101,7 @@
     void prepare(byte[] text) {
         int placeholders = Params.countPlaceholders(text);
         long memoryBytes = text.length + STATEMENT_BYTES;
-        if (placeholders > MAX_PLACEHOLDERS || statements.size() >= MAX_STATEMENTS || !memory.reserve(memoryBytes)) {
+        if (placeholders > MAX_PLACEHOLDERS || statements.size() >= MAX_STATEMENTS || !reserveStatement(memoryBytes)) {
             client.error(
                     placeholders > MAX_PLACEHOLDERS ? TOO_MANY_PLACEHOLDERS : TOO_MANY_STATEMENTS,
                     placeholders > MAX_PLACEHOLDERS ? "HY000" : "42000",
@@ -129,7 +156,7 @@
         if (statement.longDataBytes + bytes.length > MAX_LONG_DATA_BYTES) {
             throw new Framer.Malformed("values sent ahead are too long");
         }
-        if (!memory.reserve(bytes.length + MysqlRequest.PART_BYTES)) {
+        if (!reserve(bytes.length + MysqlRequest.PART_BYTES)) {
             WARNINGS.warn("values sent ahead are dropped and their executions refused: memory for them is used up");
             markIncomplete(statement);
             return;
@@ -165,7 +192,7 @@
     }
 
     private void clearValues(Prepared statement) {
-        memory.add(-statement.longDataMemoryBytes());
+        release(statement.longDataMemoryBytes());
         statement.longData = new ArrayList<>();
         statement.longDataBytes = 0;
         statement.isIncomplete = false;
@@ -216,7 +243,7 @@
         for (Params.Param param : params) {
             memoryBytes += MysqlRequest.PART_BYTES + param.name().length();
         }
-        if (!memory.reserve(memoryBytes - statement.memoryBytes)) {
+        if (!reserveStatement(memoryBytes - statement.memoryBytes)) {
             return false;
         }
         statement.memoryBytes = memoryBytes;
@@ -255,7 +282,7 @@
 
     private void release(Prepared statement) {
         clearValues(statement);
-        memory.add(-statement.memoryBytes);
+        release(statement.memoryBytes);
     }
 
     /** Removes all statements; their ids are not reused. */
--- a/net/src/main/java/lupinvalve/net/Pool.java
+++ b/net/src/main/java/lupinvalve/net/Pool.java
@@ -601,7 +601,7 @@
 
     /** Reserves memory for a part of the job's answer that is buffered; false if there is none. */
     protected final boolean reserveAnswer(PooledConnection connection, int bytes) {
-        if (!pooler.memory().answers().reserveIncoming(bytes)) {
+        if (!pooler.memory().answers().reserveIncoming(bytes, connection.answerBytesReserved)) {
             warnings.warn(
                     "the memory for answers is used up: an answer is dropped and its db node's connection closed");
             return false;
