Go on watching for room to write where a part of an answer has been written

What callers saw: rarely, the end of an answer was never written and the connection hung. Found by ReadInterestTest, which failed once in a run of the suite beside a soak.

Cause: MINA's updateTrafficControl, called whenever reading is paused or resumed, watches for room to write only if a write request is queued. One of which a part has been written is in no queue, so its rest waited for good. Since small answers are joined, a connection's only request is more often a large one.

Change: a session with such a request is watched for writing.

--- a/net/src/main/java/lupinvalve/net/Net.java
+++ b/net/src/main/java/lupinvalve/net/Net.java
@@ -253,7 +253,7 @@
             for (NioSession session = pendingInterestChanges.poll();
                     session != null;
                     session = pendingInterestChanges.poll()) {
-                super.updateTrafficControl(session);
+                watch(session);
             }
             for (NioSession session = pendingCloses.poll(); session != null; session = pendingCloses.poll()) {
                 readBeforeClose(session);
@@ -283,13 +283,29 @@
         @Override
         public void updateTrafficControl(NioSession session) {
             if (Thread.currentThread() == thread) {
-                super.updateTrafficControl(session);
+                watch(session);
             } else {
                 pendingInterestChanges.add(session);
                 wakeup();
             }
         }
 
+        /**
+         * Watches a session as its state says now. MINA overlooks a write request of which a part has been written: it
+         * is in no queue any more, and its rest would never be written.
+         */
+        private void watch(NioSession session) {
+            super.updateTrafficControl(session);
+            if (session.getCurrentWriteRequest() == null || session.isWriteSuspended()) {
+                return;
+            }
+            try {
+                setInterestedInWrite(session, true);
+            } catch (Exception e) {
+                session.getFilterChain().fireExceptionCaught(e);
+            }
+        }
+
         private void scheduleRead(NioSession session) {
             pendingReads.add(session);
             wakeup();
