--- a/core/src/test/java/lupinvalve/core/CoreTest.java
+++ b/core/src/test/java/lupinvalve/core/CoreTest.java
@@ -65,7 +65,7 @@
         loop.stop();
     }
 
-    /** Guards against statements of very many short fields, each of which took a hundred times its bytes of memory. */
+    /** Guards against statements of very many short fields, which took many times their bytes of memory. */
     @Test
     void fieldsThatAreNotReadAreNotKept() {
         StringBuilder fields = new StringBuilder();
