--- a/drills/src/main/java/lupinvalve/drills/FloodResult.java
+++ b/drills/src/main/java/lupinvalve/drills/FloodResult.java
@@ -37,10 +37,14 @@
     /** A flood may cost usual clients half of what is served, but not more than that. */
     private static final double MIN_SERVED_RATIO = 0.5;
 
-    /** Whether every request had its answer in time and at least half of them were served. */
+    /**
+     * Whether every connection was accepted, every request had its answer in time and at least half of them were
+     * served.
+     */
     public boolean good(long memoryMegabytes) {
         return late == 0
                 && lost == 0
+                && unconnected == 0
                 && !died
                 && peakMegabytes <= memoryMegabytes
                 && served >= asked * MIN_SERVED_RATIO;
