Review: choose ports below those of connections, and never take an error for a verdict

Cause: a pooler of case 10 found its port taken once, by a connection of another case beside it; and an Error in a stand-in would have ended the JVM with 1, which stands for a broken rule.

Change: Kit.freePort tries ports from 15,000 to 29,999, and Kit.main ends with 2 for whatever is thrown.

--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
@@ -45,26 +46,28 @@
     }
 
     /** Runs a case: exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
-    static void main(String folder, Body body) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
-        scratch = Files.createTempDirectory("lupinvalve-review");
-        Runtime.getRuntime().addShutdownHook(new Thread(Kit::cleanUp));
-        Thread limit = new Thread(() -> {
-            sleep(110_000);
-            note("could not run: 110 s are over");
-            Runtime.getRuntime().exit(2);
-        });
-        limit.setDaemon(true);
-        limit.start();
-        int code;
+    static void main(String folder, Body body) {
+        int code = 2;
         try {
+            record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
+            scratch = Files.createTempDirectory("lupinvalve-review");
+            Runtime.getRuntime().addShutdownHook(new Thread(Kit::cleanUp));
+            Thread limit = new Thread(() -> {
+                sleep(110_000);
+                note("could not run: 110 s are over");
+                Runtime.getRuntime().exit(2);
+            });
+            limit.setDaemon(true);
+            limit.start();
             boolean held = body.run();
             note(held ? "verdict: the rule held" : "verdict: the rule was broken");
             code = held ? 0 : 1;
-        } catch (Exception e) {
-            note("could not run: %s", e);
+        } catch (Throwable e) {
+            // An error too: the JVM would end with 1, which stands for a broken rule.
             e.printStackTrace();
-            code = 2;
+            if (record != null) {
+                note("could not run: %s", e);
+            }
         }
         System.exit(code);
     }
@@ -112,10 +115,17 @@
         return scratch;
     }
 
+    /** A free port below those that the system gives to connections, which could take it before it is used. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 100; i++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                detail("port %d is taken", port);
+            }
         }
+        throw new IOException("no free port found");
     }
 
     static String newId() {
