--- a/review/standins-2/HoldAfterRestart.java
+++ b/review/standins-2/HoldAfterRestart.java
@@ -8,6 +8,8 @@
     }
 
     private static boolean run() throws Exception {
+        // Some 30,000 bookings.
+        Kit.recordsStatements = false;
         Kit.Ledger ledger = new Kit.Ledger();
         List<Kit.PgNode> nodes = List.of(
                 new Kit.PgNode("n1", ledger, true, 0),
--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -36,6 +36,9 @@
     private static final long STARTED = System.currentTimeMillis();
     private static final AtomicLong IDS = new AtomicLong();
     private static PrintWriter record;
+    /** Whether each statement goes into the record, with its answer and where it ran. */
+    static volatile boolean recordsStatements = true;
+
     private static Path scratch;
 
     private Kit() {}
@@ -46,10 +49,10 @@
     }
 
     /** Runs a case: exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
-    static void main(String folder, Body body) {
+    static void main(String recordFile, Body body) {
         int code = 2;
         try {
-            record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
+            record = new PrintWriter(Files.newBufferedWriter(Path.of(recordFile)), true);
             scratch = Files.createTempDirectory("lupinvalve-review");
             Runtime.getRuntime().addShutdownHook(new Thread(Kit::cleanUp));
             Thread limit = new Thread(() -> {
@@ -258,6 +261,16 @@
         }
 
         Answer query(String sql) throws IOException {
+            if (sql.isEmpty() || !recordsStatements) {
+                return send(sql);
+            }
+            detail("client %d sent: %s", socket.getLocalPort(), sql);
+            Answer answer = send(sql);
+            detail("client %d was answered: %s %s", socket.getLocalPort(), answer.kind(), answer.value());
+            return answer;
+        }
+
+        private Answer send(String sql) throws IOException {
             byte[] text = sql.getBytes(StandardCharsets.UTF_8);
             out.write('Q');
             out.writeInt(text.length + 5);
@@ -381,7 +394,9 @@
                     row(out, "1");
                 } else {
                     arrivals.add(new Arrival(System.currentTimeMillis(), id, sql));
-                    if (!sql.startsWith("INSERT")) detail("%s got: %s", id, sql);
+                    if (recordsStatements) {
+                        detail("%s got: %s", id, sql);
+                    }
                     sleep(workMillis);
                     asOf = System.currentTimeMillis() - lagMillis;
                     if (sql.startsWith("INSERT") && !primary) {
--- a/review/standins-2/MysqlKit.java
+++ b/review/standins-2/MysqlKit.java
@@ -153,6 +153,13 @@
         }
 
         Kit.Answer query(String sql) throws IOException {
+            Kit.detail("client %d sent: %s", socket.getLocalPort(), sql);
+            Kit.Answer answer = send(sql);
+            Kit.detail("client %d was answered: %s %s", socket.getLocalPort(), answer.kind(), answer.value());
+            return answer;
+        }
+
+        private Kit.Answer send(String sql) throws IOException {
             new Out().int1(3).raw(sql.getBytes(StandardCharsets.UTF_8)).send(out, 0);
             byte[] first = packet(in);
             if ((first[0] & 255) == 0xFF) {
