Answers to writes wait for a majority no longer than their clients do

Cause: RequestLifecycle.serve cancelled the request's watchdog, the only timer that knows the client's time, and left the wait for the session token to the store, which bounded it by wait_for_majority_ms alone, from the db node's answer on.

Change: core.TokenWaits owns the wait, whatever the store: it ends when the store confirms, when its limit is reached, 50 ms before the client's time, or at a shutdown's deadline, which also moves waits that run. The store keeps a handle for its callback, not the answer: without a majority it kept up to 10,000 answers. The late line has the wait, and a new line says which bound ended one. EventLoop takes a clock for tests.

--- a/core/src/main/java/lupinvalve/core/EventLoop.java
+++ b/core/src/main/java/lupinvalve/core/EventLoop.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import lupinvalve.log.Log;
 import lupinvalve.maintenance.FairQueue;
 import lupinvalve.maintenance.TimeUsage;
@@ -44,7 +45,7 @@
 
     private final FairQueue<PostedTask> tasks = new FairQueue<>();
     private final ConcurrentLinkedQueue<Runnable> urgent = new ConcurrentLinkedQueue<>();
-    private final Clock clock = new Clock();
+    private final LongSupplier clock;
     private final TimerQueue timers = new TimerQueue();
     private final Source program = new Source(null);
     private final Thread thread;
@@ -74,6 +75,16 @@
      * @param name name of its thread; a loop other than the core's serves tables of its own
      */
     public EventLoop(String name) {
+        this(name, new Clock()::micros);
+    }
+
+    /**
+     * Creates an event loop on a clock of its own, which {@link #runDue} drives.
+     *
+     * @param clock Unix time in microseconds
+     */
+    EventLoop(String name, LongSupplier clock) {
+        this.clock = clock;
         thread = new Thread(this::run, name);
         usage = new TimeUsage(now());
     }
@@ -141,7 +152,7 @@
 
     /** Unix time in microseconds; any thread. */
     public long now() {
-        return clock.micros();
+        return clock.getAsLong();
     }
 
     /** How long the posted task that is running has waited for this thread; 0 in a timer. On this thread only. */
@@ -159,6 +170,13 @@
         timers.cancel(timer);
     }
 
+    /** Runs what is due on the calling thread, in place of the loop's own, and returns without waiting for more. */
+    void runDue() throws InterruptedException {
+        while (!posted.isEmpty() || tasks.size() > 0 || !urgent.isEmpty() || timers.nextAtMicros() <= now()) {
+            runTurn();
+        }
+    }
+
     private void run() {
         while (!stopped) {
             try {
--- a/core/src/main/java/lupinvalve/core/LateRequestLog.java
+++ b/core/src/main/java/lupinvalve/core/LateRequestLog.java
@@ -41,10 +41,15 @@
                 + millis(routedAtMicros - open.submittedAtMicros) + " in the router's queue, "
                 + millis(open.connectionWaitMicros) + " for a connection in " + open.attemptCount + " attempts, "
                 + millis(open.nodeMicros) + " for db nodes, " + millis(open.answerWaitMicros)
-                + " as an answer for the event loop; " + open.frontend.unreadBytes(open.ticket)
+                + " as an answer for the event loop, " + millis(tokenWaitMicros(open, nowMicros))
+                + " for a majority of poolers; " + open.frontend.unreadBytes(open.ticket)
                 + " bytes of the client's answers unsent; " + suppressed + " such requests not logged";
     }
 
+    private static long tokenWaitMicros(OpenRequest open, long nowMicros) {
+        return open.tokenWait == null ? 0 : nowMicros - open.tokenWait.startedAtMicros;
+    }
+
     private static String millis(long micros) {
         return micros / MICROS_PER_MILLI + " ms";
     }
--- a/core/src/main/java/lupinvalve/core/OpenRequest.java
+++ b/core/src/main/java/lupinvalve/core/OpenRequest.java
@@ -23,8 +23,11 @@
     /** Whether it has been removed from {@link RequestTable}; its final answer, if it gets one, follows at once. */
     boolean closed;
 
-    /** Whether a db node has served it and the answer is held back until the session token is durable. */
-    boolean awaitsToken;
+    /** The wait of its answer until the session token is durable; null if it has none. Set by {@link TokenWaits}. */
+    TokenWait tokenWait;
+    /** When the first of the answers that must follow its own on the connection is due, in Unix microseconds. */
+    long answerNeededByMicros = Long.MAX_VALUE;
+
     /** Log position that the answer must have reached, if this pooler remembers a token of the session; else 0. */
     long rememberedTokenMicros;
 
@@ -56,7 +59,10 @@
     /** Chunks of that answer forwarded so far, not counting its start. */
     long forwardedChunks;
 
-    /** Fails the request after its deadline, or aborts a streamed answer that stalls; null until it is set. */
+    /**
+     * Fails the request after its deadline, aborts a streamed answer that stalls, or ends the wait for the session
+     * token; null until it is set.
+     */
     TimerQueue.Timer watchdog;
 
     OpenRequest(Frontend frontend, long ticket, ClientRequest request, RequestClass requestClass, long deadlineMicros) {
--- a/core/src/main/java/lupinvalve/core/Pooler.java
+++ b/core/src/main/java/lupinvalve/core/Pooler.java
@@ -183,7 +183,10 @@
         return Math.max(requests.size(), attempts.size());
     }
 
-    /** Limits the deadline of requests that are submitted from now on, in Unix microseconds, because of a shutdown. */
+    /**
+     * Limits the deadline of requests that are submitted from now on, and the waits of answers that are held back, in
+     * Unix microseconds, because of a shutdown.
+     */
     public void answerBy(long deadlineMicros) {
         lifecycle.answerBy(deadlineMicros);
     }
@@ -211,6 +214,31 @@
         lifecycle.clientDisconnected(handle);
     }
 
+    /** Whether answers to writes may be held back until their session tokens are durable. */
+    public boolean holdsAnswers() {
+        return lifecycle.holdsAnswers();
+    }
+
+    /**
+     * Reports that an answer which must follow that of a request on its connection is due at a time, in Unix
+     * microseconds. The answer of the request is not held back beyond that once a db node has served it.
+     *
+     * @param handle the request that is answered first; ignored if it is not open
+     */
+    public void answerNeededBy(long handle, long deadlineMicros) {
+        lifecycle.answerNeededBy(handle, deadlineMicros);
+    }
+
+    /**
+     * Answers a request whose client cancels it, if a db node has served it and its answer is held back: it is too late
+     * to cancel it.
+     *
+     * @return whether it has been answered
+     */
+    public boolean endTokenWait(long handle) {
+        return lifecycle.endTokenWait(handle);
+    }
+
     // ---- attempts ----
 
     /** Reports that an attempt's request is being written. */
--- a/core/src/main/java/lupinvalve/core/RequestLifecycle.java
+++ b/core/src/main/java/lupinvalve/core/RequestLifecycle.java
@@ -25,6 +25,7 @@
     private final StreamedAnswers streamedAnswers;
     private final RepeatedWarnings warnings = new RepeatedWarnings();
     private final RouterDriver router;
+    private final TokenWaits tokenWaits;
     private SessionTokenStore sessionTokens = SessionTokenStore.NONE;
     private long shutdownDeadlineMicros = Long.MAX_VALUE;
 
@@ -45,16 +46,40 @@
         this.requests = requests;
         this.attempts = attempts;
         this.router = router;
+        tokenWaits = new TokenWaits(loop, requests);
         streamedAnswers = new StreamedAnswers(loop, requests, attempts, router::feed);
     }
 
     void sessionTokens(SessionTokenStore tokens) {
         sessionTokens = tokens;
+        tokenWaits.store(tokens);
     }
 
-    /** Limits the deadline of requests that are submitted from now on, in Unix microseconds, because of a shutdown. */
+    /**
+     * Limits the deadline of requests that are submitted from now on, and the waits of answers that are held back, in
+     * Unix microseconds, because of a shutdown.
+     */
     void answerBy(long deadlineMicros) {
         shutdownDeadlineMicros = deadlineMicros;
+        tokenWaits.answerBy(deadlineMicros);
+    }
+
+    /** Whether answers to writes may be held back until their session tokens are durable. */
+    boolean holdsAnswers() {
+        return sessionTokens.waitMicros() > 0;
+    }
+
+    /** Reports that an answer which must follow that of a request on its connection is due at a time. */
+    void answerNeededBy(long handle, long deadlineMicros) {
+        OpenRequest open = requests.get(handle);
+        if (open != null) {
+            tokenWaits.answerNeededBy(open, deadlineMicros);
+        }
+    }
+
+    /** Answers a request that has been served and whose answer is held back; false if there is no such answer. */
+    boolean endTokenWait(long handle) {
+        return tokenWaits.endCancelled(requests.get(handle));
     }
 
     /** Accepts a request and returns its handle, or rejects it and returns {@link HandleTable#NO_HANDLE}. */
@@ -186,7 +211,7 @@
                         attempt.node,
                         outcome,
                         now - attempt.startedAtMicros,
-                        open.closed || open.awaitsToken,
+                        open.closed || open.tokenWait != null,
                         position,
                         role));
     }
@@ -199,10 +224,7 @@
             }
         };
         if (open.isWrite() && open.request.session() != null && position != LogPosition.UNKNOWN) {
-            // The store may hold the answer back until the token is durable, and bounds that wait itself.
-            open.awaitsToken = true;
-            loop.cancel(open.watchdog);
-            sessionTokens.committed(open.request.session(), position, finish);
+            tokenWaits.start(open, position, finish);
         } else {
             finish.run();
         }
--- a/core/src/main/java/lupinvalve/core/RequestTable.java
+++ b/core/src/main/java/lupinvalve/core/RequestTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import lupinvalve.maintenance.Metrics;
 import lupinvalve.maintenance.SentIds;
 import lupinvalve.routing.RequestClass;
@@ -47,6 +48,11 @@
         return byHandle.get(handle);
     }
 
+    /** Visits the requests that are open at the call; the visitor may close them. */
+    void forEach(Consumer<OpenRequest> visitor) {
+        byHandle.forEach(visitor);
+    }
+
     /** The open request that the router identifies by an id, or null. */
     OpenRequest byRouterId(String id) {
         return byRouterId.get(id);
--- a/core/src/main/java/lupinvalve/core/SessionTokenStore.java
+++ b/core/src/main/java/lupinvalve/core/SessionTokenStore.java
@@ -22,11 +22,21 @@
     void committed(String session, long position);
 
     /**
-     * Records a commit. {@code then} runs on the core thread once the token is as durable as the store makes it or the
-     * store's limit on that wait is reached; it may run more than once.
+     * How long the answer to a write is to wait until its session token is durable, in microseconds, where its client
+     * waits as long; 0 for no wait.
      */
-    default void committed(String session, long position, Runnable then) {
+    default long waitMicros() {
+        return 0;
+    }
+
+    /**
+     * Records a commit. The caller bounds its wait for the callback itself.
+     *
+     * @param onDurable runs on the core thread once the token is as durable as the store makes it, which may be never.
+     *     The store may keep it for long, so it must not keep the answer
+     */
+    default void committed(String session, long position, Runnable onDurable) {
         committed(session, position);
-        then.run();
+        onDurable.run();
     }
 }
--- a/replication/src/main/java/lupinvalve/replication/SessionTokens.java
+++ b/replication/src/main/java/lupinvalve/replication/SessionTokens.java
@@ -8,8 +8,8 @@
 
 /**
  * The log position of each session's last commit, for causal reads: commits at this pooler are known at once, those at
- * other poolers once a majority of members holds them. The response to a write may be delayed until then, for a bounded
- * time, so that its session reads its own writes at any pooler. Confined to the core thread.
+ * other poolers once a majority of members holds them. The answer to a write may wait until then, so that its session
+ * reads its own writes at any pooler. Confined to the core thread.
  */
 public final class SessionTokens implements SessionTokenStore {
     private final EventLoop loop;
@@ -20,7 +20,7 @@
     /**
      * Starts from the commits that were replicated before.
      *
-     * @param waitMicros how long the response to a write may wait for a majority; 0 not to wait
+     * @param waitMicros how long the answer to a write may wait for a majority, in microseconds; 0 not to wait
      * @param known the sessions' commits known at this start
      */
     public SessionTokens(EventLoop loop, ControlPlane controlPlane, long waitMicros, Command.SessionCommits known) {
@@ -47,15 +47,13 @@
     }
 
     @Override
-    public void committed(String session, long position, Runnable then) {
-        if (waitMicros == 0) {
-            committed(session, position);
-            then.run();
-            return;
-        }
+    public long waitMicros() {
+        return waitMicros;
+    }
+
+    @Override
+    public void committed(String session, long position, Runnable onDurable) {
         sessions.apply(loop.now(), Map.of(session, position));
-        // Runs at the first of two events: a majority holds the commit, or the timeout. A second run has no effect.
-        controlPlane.publishCommit(session, position, () -> loop.post(then));
-        loop.after(waitMicros, then);
+        controlPlane.publishCommit(session, position, () -> loop.post(onDurable));
     }
 }
