Answers behind a booking on its connection end its wait for a majority in time

Callers saw: with a booking and a read sent at once, the read's answer came 700 ms after its client's time, though its db node had answered it in time; over MySQL the second command was not even begun, and was refused (1226) once its time was over.

Cause: answers go out in the order of the commands, and an answer that is held back for a majority holds all behind it; the wait was bounded by its own client's time alone.

Change: a front tells the pooler when an answer behind is due. PostgreSQL: the time of that request. MySQL, where the next command starts only then: half of its time, read from its text or attributes, else from the prepared text, else the shortest class's. Without a store nothing is read. Reading a COM_QUERY moves into MysqlRequest, which both use.

--- a/daemon/src/test/java/lupinvalve/integration/HeldAnswersTest.java
+++ b/daemon/src/test/java/lupinvalve/integration/HeldAnswersTest.java
@@ -125,4 +125,19 @@
                     .orElseThrow();
         }
     }
+
+    /** Guards against a short answer that waits for a booking's answer, which comes before it on the connection. */
+    @Test
+    void anAnswerBehindABookingIsNotHeldBackPastItsTime() throws Exception {
+        try (MinorityWorld minority = minority(null);
+                Socket client = minority.world.raw(
+                        PlatformTest.booking("a", LONG_MILLIS), PlatformTest.read("b", SHORT_MILLIS))) {
+            long startNanos = System.nanoTime();
+            List<String> received = PlatformTest.readMessages(client, 'Z', 3);
+            assertBetween(SHORT_MILLIS / 2, SHORT_MILLIS + SOCKET_SLACK_MILLIS, millisSince(startNanos));
+            assertEquals(
+                    List.of("T", "D", "C", "Z", "T", "D", "C", "Z"),
+                    received.subList(PlatformTest.GREETING, received.size()));
+        }
+    }
 }
--- a/daemon/src/test/java/lupinvalve/mysql/HeldMysqlAnswersTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/HeldMysqlAnswersTest.java
@@ -82,8 +82,9 @@
         }
     }
 
+    /** Guards against commands behind a booking that are not even begun while its answer is held back. */
     @Test
-    void textBookingsAreAnsweredInTime() throws Exception {
+    void textBookingsAndCommandsBehindThemAreAnsweredInTime() throws Exception {
         try (MinorityWorld minority = minority();
                 RawMysqlClient client = new RawMysqlClient(minority.world.daemon.mysqlAddress(), "portal", "towel")) {
             client.send(RawMysqlClient.command(Protocol.COM_QUERY, booking("first", LONG_MILLIS)));
@@ -92,6 +93,34 @@
             client.send(RawMysqlClient.command(Protocol.COM_QUERY, booking("a", SHORT_MILLIS)));
             assertEquals(List.of("rows"), client.answers(1));
             assertBetween(SHORT_MILLIS / 2, SHORT_MILLIS + SOCKET_SLACK_MILLIS, millisSince(startNanos));
+            startNanos = System.nanoTime();
+            client.send(
+                    RawMysqlClient.command(Protocol.COM_QUERY, booking("b", LONG_MILLIS)),
+                    RawMysqlClient.command(
+                            Protocol.COM_QUERY, "SELECT blob FROM rows" + comment("c", "bag-status", SHORT_MILLIS)));
+            assertEquals(List.of("rows", "rows"), client.answers(2));
+            assertBetween(0, SHORT_MILLIS + SOCKET_SLACK_MILLIS, millisSince(startNanos));
+        }
+    }
+
+    /** Guards against the same where the second command executes a prepared statement. */
+    @Test
+    void executionsBehindABookingAreAnsweredInTime() throws Exception {
+        try (MinorityWorld minority = minority();
+                RawMysqlClient client = new RawMysqlClient(minority.world.daemon.mysqlAddress(), "portal", "towel")) {
+            client.send(RawMysqlClient.command(
+                    Protocol.COM_STMT_PREPARE,
+                    "SELECT blob FROM rows WHERE a = ? AND b = ?" + comment("p", "bag-status", SHORT_MILLIS)));
+            assertEquals(List.of("ok"), client.answers(1));
+            client.send(RawMysqlClient.command(Protocol.COM_QUERY, booking("first", LONG_MILLIS)));
+            assertEquals(List.of("rows"), client.answers(1));
+            long startNanos = System.nanoTime();
+            client.send(
+                    RawMysqlClient.command(Protocol.COM_QUERY, booking("b", LONG_MILLIS)),
+                    RawMysqlClient.longData(1, new byte[] {'x'}),
+                    RawMysqlClient.execute(1, "k"));
+            assertEquals(List.of("rows", "rows"), client.answers(2));
+            assertBetween(0, SHORT_MILLIS + SOCKET_SLACK_MILLIS, millisSince(startNanos));
         }
     }
 }
--- a/drills/src/test/java/lupinvalve/drills/MajorityWaitProcessesTest.java
+++ b/drills/src/test/java/lupinvalve/drills/MajorityWaitProcessesTest.java
@@ -125,6 +125,11 @@
                 + ",c=pickup-booking,t=acme,d=" + timeoutMillis + ",cluster=0 */";
     }
 
+    private static String read(String id, int timeoutMillis) {
+        return "SELECT blob FROM rows WHERE handle = 'k' /* id=" + id + ",c=bag-status,t=acme,d=" + timeoutMillis
+                + ",cluster=0 */";
+    }
+
     private SqlConnection connect() throws IOException {
         return new SqlConnection(clientPorts.get("p0"), 10_000, false);
     }
@@ -162,6 +167,12 @@
         processes.get("p2").kill();
         assertClientsTimeIsKept("killed");
         book("patient", LONG_MILLIS).assertServedWithin(WAIT_MILLIS, LONG_MILLIS);
+        try (SqlConnection client = connect()) {
+            long sentNanos = System.nanoTime();
+            client.send(List.of(booking("ahead", LONG_MILLIS), read("behind", 300)));
+            read(client, sentNanos).assertServedWithin(0, 300 + SOCKET_SLACK_MILLIS);
+            read(client, sentNanos).assertServedWithin(0, 300 + SOCKET_SLACK_MILLIS);
+        }
         synchronized (log) {
             assertTrue(
                     log.stream()
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlClient.java
@@ -31,9 +31,10 @@
      * What waits until the commands before it have been answered: a command, or a run of commands beyond the limit.
      *
      * @param packet the command; null for a run of rejected ones
+     * @param startByMicros until when it has to start, in Unix microseconds
      * @param rejected the run; null for a command
      */
-    record Command(byte[] packet, long atMicros, RejectedCommands rejected) {
+    record Command(byte[] packet, long atMicros, long startByMicros, RejectedCommands rejected) {
         /** Memory of a waiting command beside its bytes. */
         private static final int OVERHEAD_BYTES = 128;
 
@@ -88,12 +89,17 @@
     }
 
     /** Adds a command to those that wait. */
-    void addWaiting(byte[] packet, long atMicros) {
-        Command command = new Command(packet, atMicros, null);
+    void addWaiting(byte[] packet, long atMicros, long startByMicros) {
+        Command command = new Command(packet, atMicros, startByMicros, null);
         waitingCommands.add(command);
         waitingBytes += command.memoryBytes();
     }
 
+    /** Until when the first of the waiting commands has to start, in Unix microseconds. */
+    long startByMicros() {
+        return waitingCommands.stream().mapToLong(Command::startByMicros).min().orElse(Long.MAX_VALUE);
+    }
+
     /** Removes the next of the commands that wait. */
     void pollWaiting() {
         waitingBytes -= waitingCommands.poll().memoryBytes();
@@ -119,7 +125,7 @@
     void addRejected(byte[] packet) {
         Command last = waitingCommands.peekLast();
         if (last == null || !last.isRejected()) {
-            last = new Command(null, 0, new RejectedCommands());
+            last = new Command(null, 0, Long.MAX_VALUE, new RejectedCommands());
             waitingCommands.add(last);
         }
         last.rejected().add(packet);
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -12,7 +12,6 @@
 import lupinvalve.core.InvalidStatementException;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.RefusalReason;
-import lupinvalve.core.Statement;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
 import lupinvalve.maintenance.ByteBudget;
@@ -48,6 +47,7 @@
     private static final int MALFORMED_PACKET = 1153;
     private final Pooler pooler;
     private final MysqlLogin login;
+    private final WaitingCommands waitingCommands;
     private final HandleTable<MysqlClient> clients;
     private final Map<Link, MysqlClient> byLink = new IdentityHashMap<>();
     private final ClientEviction<MysqlClient> clientEviction;
@@ -68,6 +68,7 @@
     public MysqlFront(Pooler pooler, int maxClients, String user, String password) {
         this.pooler = pooler;
         login = new MysqlLogin(user, password);
+        waitingCommands = new WaitingCommands(pooler.settings().classes());
         clients = new HandleTable<>(ClientEviction.tableCapacity(maxClients));
         clientEviction = new ClientEviction<>(
                 pooler.loop(), clients, maxClients, pooler.settings().limits().maxOpenRequests(), this::retire);
@@ -219,13 +220,21 @@
                         || !commandMemory.reserve(MysqlClient.Command.memoryBytes(packet), client.commandBytes()))) {
             client.addRejected(packet);
         } else if (client.isAnswerPending()) {
-            client.addWaiting(packet, atMicros);
+            addWaiting(client, packet, atMicros);
         } else {
             takeCommand(client, packet, atMicros);
             markIdle(client);
         }
     }
 
+    /** Adds a command that waits; the answer to the open request is not held back beyond the time for its start. */
+    private void addWaiting(MysqlClient client, byte[] packet, long atMicros) {
+        long startByMicros =
+                pooler.holdsAnswers() ? waitingCommands.startByMicros(client, packet, atMicros) : Long.MAX_VALUE;
+        client.addWaiting(packet, atMicros, startByMicros);
+        pooler.answerNeededBy(client.requestHandle, startByMicros);
+    }
+
     private void takeLogin(MysqlClient client, byte[] packet) throws Framer.Malformed {
         if (!login.takeResponse(client, packet)) {
             end(client, EndReason.NOT_LET_IN);
@@ -260,15 +269,8 @@
     }
 
     private void takeQuery(MysqlClient client, PacketReader in, long atMicros) throws Framer.Malformed {
-        List<Params.Param> attributes = List.of();
-        if (client.hasCapability(Protocol.QUERY_ATTRIBUTES)) {
-            int count = Params.checkedCount(in.lengthEncodedInt());
-            in.lengthEncodedInt();
-            if (count > 0) {
-                attributes = Params.read(in, count, true, null, List.of());
-            }
-        }
-        byte[] text = in.rest();
+        MysqlRequest request = MysqlRequest.ofQuery(client, in);
+        byte[] text = request.text();
         String prefix = new String(text, 0, Math.min(text.length, 32), ISO_8859_1)
                 .strip()
                 .toUpperCase(Locale.ROOT);
@@ -281,24 +283,14 @@
         } else if (prefix.isEmpty() || prefix.equals(";")) {
             client.error(EMPTY_QUERY, "42000", "Query was empty");
         } else {
-            submit(client, new MysqlRequest(text, new Statement(text), false, attributes, 0, List.of()), atMicros);
+            submit(client, request, atMicros);
         }
     }
 
-    /**
-     * Submits a request to the pooler. Query attributes become fields of the statement; the first value of a string
-     * type is the session token.
-     */
+    /** Submits a request to the pooler. */
     private void submit(MysqlClient client, MysqlRequest request, long atMicros) {
-        String session = null;
-        for (int i = 0; i < request.params().size(); i++) {
-            Params.Param param = request.params().get(i);
-            if (i >= request.valueCount() && param.text() != null) {
-                request.statement().set(param.name(), param.text());
-            } else if (session == null && i < request.valueCount() && param.isText()) {
-                session = param.text();
-            }
-        }
+        request.applyAttributes();
+        String session = request.session();
         try {
             ClientRequest clientRequest =
                     request.statement().toRequest(pooler.settings().classes(), atMicros, session, PROTOCOL, request);
@@ -325,6 +317,7 @@
             long handle = pooler.submit(this, client.handle, clientRequest);
             if (client.hasOpenRequest) {
                 client.requestHandle = handle;
+                pooler.answerNeededBy(handle, client.startByMicros());
             }
         } catch (InvalidStatementException e) {
             client.error(PARSE_ERROR, "42000", e.getMessage());
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import lupinvalve.core.Statement;
+import lupinvalve.net.Framer;
 
 /**
  * A client's request in a form that can be sent to any db node.
@@ -23,6 +25,39 @@
     /** Memory of a parameter, its type or a piece of its value beside its bytes. */
     static final int PART_BYTES = 64;
 
+    /** Reads the rest of COM_QUERY. */
+    static MysqlRequest ofQuery(MysqlClient client, PacketReader in) throws Framer.Malformed {
+        List<Params.Param> attributes = List.of();
+        if (client.hasCapability(Protocol.QUERY_ATTRIBUTES)) {
+            int count = Params.checkedCount(in.lengthEncodedInt());
+            in.lengthEncodedInt();
+            if (count > 0) {
+                attributes = Params.read(in, count, true, null, List.of());
+            }
+        }
+        byte[] text = in.rest();
+        return new MysqlRequest(text, new Statement(text), false, attributes, 0, List.of());
+    }
+
+    /** Makes the query attributes fields of the statement. */
+    void applyAttributes() {
+        for (Params.Param attribute : params.subList(valueCount, params.size())) {
+            if (attribute.text() != null) {
+                statement.set(attribute.name(), attribute.text());
+            }
+        }
+    }
+
+    /** The session's key: the first placeholder's value of a string type; null if there is none. */
+    String session() {
+        return params.subList(0, valueCount).stream()
+                .filter(Params.Param::isText)
+                .map(Params.Param::text)
+                .filter(Objects::nonNull)
+                .findFirst()
+                .orElse(null);
+    }
+
     /** Bytes of memory that the request takes while it is open. */
     long memoryBytes() {
         long bytes = text.length;
--- a/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
+++ b/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
@@ -145,6 +145,12 @@
         client.link.write(answer.toArray(new byte[0][]));
     }
 
+    /** The text of a statement; empty if there is none with this id. */
+    byte[] text(long id) {
+        Prepared statement = statements.get(id);
+        return statement == null ? new byte[0] : statement.text;
+    }
+
     /** Takes COM_STMT_SEND_LONG_DATA, which has no answer: keeps a piece of a value for the next execution. */
     void takeLongData(PacketReader in) throws Framer.Malformed {
         Prepared statement = statements.get(in.fixedInt(4));
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -139,6 +139,8 @@
         long ticket;
 
         int statementBytes;
+        /** When the first of the answers that must follow it is due, in Unix microseconds. */
+        long neededByMicros = Long.MAX_VALUE;
         /** Whether the request has been submitted to the pooler. */
         boolean isSubmitted;
         /** The messages that end the answer; null until they are known. */
@@ -373,7 +375,8 @@
 
     /**
      * Cancels the oldest request that the client waits for: attempts in flight are abandoned, no further ones start,
-     * and the request is answered with an error. Does nothing where that request is already answered.
+     * and the request is answered with an error. Does nothing where that request is already answered; one that a db
+     * node has served gets its answer.
      */
     private void cancel(Client client) {
         Reply reply = client.pendingReplies.peek();
@@ -436,6 +439,7 @@
         try {
             ClientRequest request =
                     statement.toRequest(pooler.settings().classes(), atMicros, null, PROTOCOL, statement);
+            answersNeededBy(client, request.expiresAtMicros());
             if (pooler.hasOpenRequest(request.id())) {
                 throw new InvalidStatementException("field id names an open request");
             }
@@ -471,9 +475,21 @@
         }
         reply.isSubmitted = true;
         reply.request = pooler.submit(this, reply.ticket, request);
+        pooler.answerNeededBy(reply.request, reply.neededByMicros);
         return true;
     }
 
+    /** The pending answers of a client must not be held back beyond a time, as a further one that follows is due. */
+    private void answersNeededBy(Client client, long deadlineMicros) {
+        if (!pooler.holdsAnswers()) {
+            return;
+        }
+        for (Reply reply : client.pendingReplies) {
+            reply.neededByMicros = Math.min(reply.neededByMicros, deadlineMicros);
+            pooler.answerNeededBy(reply.request, reply.neededByMicros);
+        }
+    }
+
     /** Rejects a request that its client's share has kept waiting, while the client can still repeat it. */
     private void refuseWaiting(Reply reply, ClientRequest request) {
         if (replies.get(reply.ticket) == reply && !reply.isSubmitted) {
