A cancel of a booking that waits for a majority gets the booking's answer

Callers saw: 57014, "canceled at its client's request", for a booking that had run, if the CancelRequest came while its answer was held back for a majority.

Cause: PgFront.cancel asked only whether the answer was there to be written; an answer that is held back has not reached the front, so the request looked as if it were in flight.

Change: such a cancel ends the wait, and the answer goes out as the db node gave it.

Result: before, HeldAnswersTest.aCancelDuringTheWaitIsAnsweredWithTheBooking got "ERROR: canceled at its client's request"; now it passes.

--- a/daemon/src/test/java/lupinvalve/integration/HeldAnswersTest.java
+++ b/daemon/src/test/java/lupinvalve/integration/HeldAnswersTest.java
@@ -8,8 +8,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.sql.Connection;
+import java.sql.ResultSet;
+import java.sql.Statement;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -68,6 +71,29 @@
         }
     }
 
+    /** Guards against "cancelled" as the outcome of a booking that has run. */
+    @Test
+    void aCancelDuringTheWaitIsAnsweredWithTheBooking() throws Exception {
+        try (MinorityWorld minority = minority(null);
+                Connection client = minority.world.pg();
+                Statement statement = client.createStatement()) {
+            long startNanos = System.nanoTime();
+            FutureTask<String> outcome = new FutureTask<>(() -> {
+                try (ResultSet rows = statement.executeQuery(PlatformTest.booking("a", LONG_MILLIS))) {
+                    rows.next();
+                    return rows.getString(1);
+                }
+            });
+            World.thread(outcome::run);
+            World.await("it has run", () -> primary.runs.containsKey("a"));
+            // The db node's answer reaches the pooler after the run.
+            Thread.sleep(100);
+            statement.cancel();
+            assertEquals("value", outcome.get(), "the booking has run");
+            assertBetween(100, MinorityWorld.WAIT_MILLIS - 1, millisSince(startNanos));
+        }
+    }
+
     /** Guards against a second run where a client repeats its id during the wait, or leaves and then repeats it. */
     @Test
     void anIdThatIsRepeatedDuringTheWaitIsAnsweredInTimeAndNotRunAgain() throws Exception {
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -380,7 +380,7 @@
      */
     private void cancel(Client client) {
         Reply reply = client.pendingReplies.peek();
-        if (reply == null || reply.messages != null || reply.isPadding) {
+        if (reply == null || reply.messages != null || reply.isPadding || pooler.endTokenWait(reply.request)) {
             return;
         }
         pooler.clientDisconnected(reply.request);
