--- a/drills/src/test/java/lupinvalve/drills/MajorityWaitProcessesTest.java
+++ b/drills/src/test/java/lupinvalve/drills/MajorityWaitProcessesTest.java
@@ -45,6 +45,7 @@
             new DbNodes(1, (node, pooler, fields, write) -> runs.merge(fields.get("id"), 1, Integer::sum));
     private final Map<String, DaemonProcess> processes = new HashMap<>();
     private final Map<String, Integer> clientPorts = new TreeMap<>();
+    private final List<FaultProxy> proxies = new ArrayList<>();
     private final List<String> log = new ArrayList<>();
 
     /** How a booking was answered. */
@@ -71,10 +72,24 @@
             writeFiles(
                     new PoolerFiles.Identity(
                             NAMES.get(i), i, NAMES.size(), clientPorts.get(NAMES.get(i)), discoveryPort),
-                    members);
+                    membersSeenBy(NAMES.get(i), members));
         }
     }
 
+    /** The members' addresses as a member's file has them: those on the links of p0 lead through proxies. */
+    private Map<String, String> membersSeenBy(String name, Map<String, String> members) throws IOException {
+        Map<String, String> seen = new TreeMap<>(members);
+        for (String other : NAMES) {
+            if (!other.equals(name) && (name.equals("p0") || other.equals("p0"))) {
+                FaultProxy proxy =
+                        new FaultProxy(Integer.parseInt(members.get(other).substring("127.0.0.1:".length())));
+                proxies.add(proxy);
+                seen.put(other, "127.0.0.1:" + proxy.port());
+            }
+        }
+        return seen;
+    }
+
     private void writeFiles(PoolerFiles.Identity identity, Map<String, String> members) throws IOException {
         List<String> entries = new ArrayList<>();
         for (DbNodes.DbNode node : nodes.all()) {
@@ -97,6 +112,9 @@
     @AfterEach
     void endProcesses() throws IOException {
         processes.values().forEach(DaemonProcess::close);
+        for (FaultProxy proxy : proxies) {
+            proxy.close();
+        }
         nodes.close();
     }
 
@@ -196,6 +214,19 @@
         resumed.get().assertServedWithin(300, WAIT_MILLIS + SOCKET_SLACK_MILLIS);
     }
 
+    @Test
+    void bookingsAreAnsweredInTimeByAMemberThatIsCutOff() throws Exception {
+        startAll();
+        proxies.forEach(proxy -> proxy.gone(true));
+        assertClientsTimeIsKept("cut");
+        book("patient", LONG_MILLIS).assertServedWithin(WAIT_MILLIS, LONG_MILLIS);
+        proxies.forEach(FaultProxy::heal);
+        Await.until(
+                "a majority confirms bookings again",
+                READY_SECONDS,
+                () -> book("healed" + System.nanoTime(), LONG_MILLIS).tookMillis() < WAIT_MILLIS / 2);
+    }
+
     @Test
     void bookingsAreAnsweredInTimeByAMemberThatStartsAlone() throws Exception {
         start(List.of("p0"));
