--- a/daemon/src/test/java/lupinvalve/mysql/HeldMysqlAnswersTest.java
+++ b/daemon/src/test/java/lupinvalve/mysql/HeldMysqlAnswersTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import lupinvalve.integration.DbNode;
 import lupinvalve.integration.MinorityWorld;
+import lupinvalve.integration.World;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -103,6 +104,31 @@
         }
     }
 
+    /**
+     * Guards against a second run where a client repeats its id on another connection, or leaves and then repeats it.
+     */
+    @Test
+    void anIdThatIsRepeatedDuringTheWaitIsNotRunAgain() throws Exception {
+        byte[] booking = RawMysqlClient.command(Protocol.COM_QUERY, booking("a", LONG_MILLIS));
+        try (MinorityWorld minority = minority();
+                RawMysqlClient other = new RawMysqlClient(minority.world.daemon.mysqlAddress(), "portal", "towel")) {
+            try (RawMysqlClient first = new RawMysqlClient(minority.world.daemon.mysqlAddress(), "portal", "towel")) {
+                first.send(booking);
+                World.await("it has run", () -> primary.runs.containsKey("a"));
+                // The db node's answer reaches the pooler after the run.
+                Thread.sleep(100);
+                other.send(booking);
+                assertEquals(List.of("1064"), other.answers(1), "the id of an open request");
+            }
+            World.await(
+                    "its client has left",
+                    () -> minority.world.daemon.memory().commands().takenBytes() == 0);
+            other.send(booking);
+            assertEquals(List.of("1105"), other.answers(1), "it may have run");
+            assertEquals(1, primary.runs.get("a"));
+        }
+    }
+
     /** Guards against the same where the second command executes a prepared statement. */
     @Test
     void executionsBehindABookingAreAnsweredInTime() throws Exception {
