A member that is killed and starts alone knows the holds that it acted on

Cause: RaftReplica.runOperation forced the mark of what is committed for a put alone; for a hold or a release it reached the disk with the next entry, 10 s later at a quiet group.

Change: the mark is forced for StartDrain and EndDrain too, before poolers are told.

--- a/daemon/src/test/java/lupinvalve/cli/GroupTest.java
+++ b/daemon/src/test/java/lupinvalve/cli/GroupTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -380,6 +381,54 @@
         assertTrue(store(memberA, "status").out().contains("acting: serving with revision 1"));
     }
 
+    /** Copies a member's folder as it is on the disk now, which is what a process that is killed now leaves. */
+    private void copyFolder(Path from, Path to) throws IOException {
+        Files.createDirectories(to);
+        try (Stream<Path> files = Files.list(from)) {
+            for (Path file : files.filter(path -> !path.endsWith("lock")).toList()) {
+                Files.copy(file, to.resolve(file.getFileName()), StandardCopyOption.COPY_ATTRIBUTES);
+            }
+        }
+    }
+
+    /** Guards against a drained db node that gets requests of a member which was killed and starts alone. */
+    @Test
+    void aMemberThatIsKilledAndStartsAloneKnowsTheDrainsThatItActedOn() throws Exception {
+        startAll();
+        Path memberA = operatorFile("a", tls("own/authority.pem", "own", "a"));
+        Command.DrainTarget n2 = new Command.DrainTarget(Command.TargetKind.NODE, "n2");
+        Command.DrainTarget n3 = new Command.DrainTarget(Command.TargetKind.NODE, "n3");
+        for (String node : List.of("n2", "n3")) {
+            assertEquals(
+                    0, store(memberA, "hold", "node", node, "--why", "kernel").code());
+        }
+        assertEquals(0, store(memberA, "release", "node", "n3").code());
+        for (String name : NAMES) {
+            World.await(
+                    name + " acts on them",
+                    () -> holds.getOrDefault(name, Map.of()).containsKey(n2)
+                            && !holds.get(name).containsKey(n3));
+            copyFolder(folder.resolve(name), folder.resolve("killed-" + name));
+        }
+        for (String name : NAMES) {
+            members.remove(name).stop();
+        }
+        holds.clear();
+        for (String name : NAMES) {
+            try (Stream<Path> files = Files.list(folder.resolve(name))) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            copyFolder(folder.resolve("killed-" + name), folder.resolve(name));
+            RaftMember alone = start(name, tls("own/authority.pem", "own", name));
+            World.await("told", () -> holds.containsKey(name));
+            assertEquals(java.util.Set.of(n2), holds.get(name).keySet(), name);
+            assertFalse(alone.isLeader());
+            members.remove(name).stop();
+        }
+    }
+
     @Test
     void earlierStoreFormatIsImportedOnce() throws Exception {
         reserveAddresses();
--- a/replication/src/main/java/lupinvalve/replication/RaftReplica.java
+++ b/replication/src/main/java/lupinvalve/replication/RaftReplica.java
@@ -231,7 +231,7 @@
             ReplicatedState.Outcome outcome = state.apply(index, command);
             try {
                 log.advanceCommitIndex(index);
-                if (command instanceof Command.PutDocument) {
+                if (isActedOn(command)) {
                     // The pooler serves with it from now on, so after a restart it must be known to be committed even
                     // while no other member is connected.
                     log.flush();
@@ -245,6 +245,13 @@
             return outcome;
         }
 
+        /** Whether it is an operator's change, which poolers act on from then on. */
+        private static boolean isActedOn(Command command) {
+            return command instanceof Command.PutDocument
+                    || command instanceof Command.StartDrain
+                    || command instanceof Command.EndDrain;
+        }
+
         private Command decode(long index, byte[] operation) {
             try {
                 return CommandCodec.decode(operation);
