A store call that may have happened is not told as not happened

Cause: GroupClient.call goes on after an indeterminate answer to a call that may be repeated, and reported the last answer alone: that of members which could not answer.

Change: an indeterminate answer stays until a member answers the call as a whole.

--- a/replication/src/main/java/lupinvalve/replication/GroupClient.java
+++ b/replication/src/main/java/lupinvalve/replication/GroupClient.java
@@ -69,32 +69,35 @@
     }
 
     /**
-     * Sends a request until a member responds or the timeout passes.
+     * Sends a request until a member responds or the timeout passes. Once it may have been carried out, only a response
+     * to the whole of it says more: that a later member can't respond does not undo it.
      *
      * @param idempotent whether the request may be sent again although it may have been carried out
      */
     public Result call(String request, List<byte[]> arguments, boolean idempotent, long timeoutMillis) {
         long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-        Result last = new Result(WireMessages.Status.RETRY, "no member is in reach");
+        Result unfinished = new Result(WireMessages.Status.RETRY, "no member is in reach");
         while (true) {
             for (Map.Entry<String, String> member : members.entrySet()) {
                 long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
                 if (remainingMillis <= 0) {
-                    return last;
+                    return unfinished;
                 }
-                last = callMember(member.getKey(), member.getValue(), request, arguments, remainingMillis);
+                Result last = callMember(member.getKey(), member.getValue(), request, arguments, remainingMillis);
                 boolean isFinal = last.status() == WireMessages.Status.INDETERMINATE
                         ? !idempotent
                         : last.status() != WireMessages.Status.RETRY;
                 if (isFinal) {
                     return last;
                 }
+                boolean mayHaveRun = unfinished.status() == WireMessages.Status.INDETERMINATE;
+                unfinished = mayHaveRun && last.status() == WireMessages.Status.RETRY ? unfinished : last;
             }
             try {
                 Thread.sleep(RETRY_BACKOFF_MILLIS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
-                return last;
+                return unfinished;
             }
         }
     }
