A session's key is the value of its first SQL literal, read by dialect on both fronts

Cause: Statement.firstLiteral looked for ' alone and kept the text between quotes, not its value; comments, quoted names and escapes were not told apart, and a bound text counted before a literal that stands ahead of it. So a statement had no key, or another one, and recorded no token.

A bound NEWDECIMAL is a number, so it is no key, as in text.

--- a/core/src/main/java/lupinvalve/core/Statement.java
+++ b/core/src/main/java/lupinvalve/core/Statement.java
@@ -13,10 +13,10 @@
 import lupinvalve.routing.RequestClass;
 
 /**
- * A statement as the client sent it, with the fields of its last comment, by which it is routed: {@code id} (request
- * id), {@code c} (request class), {@code cluster} (group of db nodes), {@code d} (timeout in milliseconds), {@code r}
- * (1 for a retry) and {@code after} (session token in milliseconds). The bytes are forwarded unchanged, except that the
- * value of {@code d} is replaced. Not thread-safe.
+ * A statement as the client sent it, with the fields of its last block comment, by which it is routed: {@code id}
+ * (request id), {@code c} (request class), {@code cluster} (group of db nodes), {@code d} (timeout in milliseconds),
+ * {@code r} (1 for a retry) and {@code after} (session token in milliseconds). The bytes are forwarded unchanged,
+ * except that the value of {@code d} is replaced. Not thread-safe.
  */
 public final class Statement {
     /** The fields that are read; a statement may have any number of others, which are not kept. */
@@ -29,31 +29,22 @@
     private static final long MICROS_PER_MILLI = 1000;
 
     private final byte[] text;
+    private final SqlText sql;
     private final Map<String, String> fields = new HashMap<>(FIELD_NAMES.size() * 2);
     /** Where the value of the timeout starts in the text, or {@link #NONE}. */
     private int timeoutStart = NONE;
 
     private int timeoutEnd = NONE;
 
-    /** Parses the last comment of the statement; without a comment it has no fields. */
-    public Statement(byte[] text) {
+    /** Reads the text by the rules of its dialect; without a block comment the statement has no fields. */
+    public Statement(byte[] text, SqlDialect dialect) {
         this.text = text;
-        int end = lastIndexOf('*', '/', text.length);
-        int start = end == NONE ? NONE : lastIndexOf('/', '*', end);
-        if (start != NONE) {
-            readFields(start + 2, end);
+        sql = SqlText.read(text, dialect);
+        if (sql.commentStart() != SqlText.NONE) {
+            readFields(sql.commentStart(), sql.commentEnd());
         }
     }
 
-    private int lastIndexOf(char first, char second, int before) {
-        for (int i = before - 2; i >= 0; i--) {
-            if (text[i] == first && text[i + 1] == second) {
-                return i;
-            }
-        }
-        return NONE;
-    }
-
     private void readFields(int from, int to) {
         int start = from;
         while (start < to) {
@@ -133,11 +124,26 @@
     }
 
     /**
-     * The session's key: the first quoted literal, or a digest of it if it is long; null if there is none. Keys are
-     * kept after the request has ended, so clients must not choose their length.
+     * The session's key: the value of the first quoted literal, or a digest of it if it is long; null if there is none
+     * or if the text is cut. Keys are kept after the request has ended, so clients must not choose their length.
      */
     public String sessionKey() {
-        return bounded(firstLiteral());
+        return sql.isCut() ? null : bounded(sql.firstLiteral());
+    }
+
+    /** Whether the text ends within a literal, a quoted name or a block comment. */
+    public boolean isCut() {
+        return sql.isCut();
+    }
+
+    /** The number of placeholders. */
+    public int placeholderCount() {
+        return sql.placeholders();
+    }
+
+    /** The number of placeholders before the first quoted literal; all of them if there is no literal. */
+    public int placeholdersBeforeLiteral() {
+        return sql.placeholdersBeforeLiteral();
     }
 
     private static String bounded(String key) {
@@ -153,15 +159,6 @@
         }
     }
 
-    private String firstLiteral() {
-        int start = indexOf('\'', 0, text.length) + 1;
-        int end = start;
-        while (end < text.length && (text[end] != '\'' || end + 1 < text.length && text[end + 1] == '\'')) {
-            end += text[end] == '\'' ? 2 : 1;
-        }
-        return end < text.length ? new String(text, start, end - start, UTF_8) : null;
-    }
-
     /** The statement with the remaining time as the value of {@code d}, in milliseconds, at least 1. */
     public byte[] bytes(long remainingMicros) {
         if (timeoutStart == NONE) {
@@ -179,7 +176,7 @@
     /**
      * Builds the request from the statement's fields.
      *
-     * @param session the session's key, or null to use the first quoted literal
+     * @param session the session's key, or null to use {@link #sessionKey}
      * @param payload what the backend sends
      * @throws InvalidStatementException if a required field is missing or a value is invalid
      */
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlFront.java
@@ -291,6 +291,9 @@
     private void submit(MysqlClient client, MysqlRequest request, long atMicros) {
         request.applyAttributes();
         String session = request.session();
+        if (request.statement().isCut()) {
+            warnings.warn("a MySQL statement ends within a literal, a quoted name or a comment");
+        }
         try {
             ClientRequest clientRequest =
                     request.statement().toRequest(pooler.settings().classes(), atMicros, session, PROTOCOL, request);
--- a/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
+++ b/mysql/src/main/java/lupinvalve/mysql/MysqlRequest.java
@@ -1,8 +1,11 @@
 package lupinvalve.mysql;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
+import lupinvalve.core.SqlDialect;
 import lupinvalve.core.Statement;
 import lupinvalve.net.Framer;
 
@@ -36,7 +39,7 @@
             }
         }
         byte[] text = in.rest();
-        return new MysqlRequest(text, new Statement(text), false, attributes, 0, List.of());
+        return new MysqlRequest(text, new Statement(text, SqlDialect.MYSQL), false, attributes, 0, List.of());
     }
 
     /** Makes the query attributes fields of the statement. */
@@ -48,14 +51,40 @@
         }
     }
 
-    /** The session's key: the first placeholder's value of a string type; null if there is none. */
+    /**
+     * The session's key: the first value of a string type, of those that stand in the text as literals and those of
+     * placeholders; null if there is none or the text is cut. A statement names the same session whichever way its
+     * values are sent.
+     */
     String session() {
-        return params.subList(0, valueCount).stream()
-                .filter(Params.Param::isText)
-                .map(Params.Param::text)
-                .filter(Objects::nonNull)
-                .findFirst()
-                .orElse(null);
+        if (statement.isCut()) {
+            return null;
+        }
+        int beforeLiteral = Math.min(valueCount, statement.placeholdersBeforeLiteral());
+        String key = firstText(0, beforeLiteral);
+        if (key == null) {
+            key = statement.sessionKey();
+        }
+        return key != null ? key : firstText(beforeLiteral, valueCount);
+    }
+
+    /** The first value of a string type among those of some placeholders, or null. */
+    private String firstText(int from, int to) {
+        for (int i = from; i < to; i++) {
+            Params.Param param = params.get(i);
+            String text = param.sentAsLongData() ? longDataText(i) : param.text();
+            if (param.isText() && text != null) {
+                return text;
+            }
+        }
+        return null;
+    }
+
+    /** The value of a placeholder that was sent by COM_STMT_SEND_LONG_DATA. */
+    private String longDataText(int param) {
+        ByteArrayOutputStream value = new ByteArrayOutputStream();
+        longData.stream().filter(piece -> piece.param() == param).forEach(piece -> value.writeBytes(piece.bytes()));
+        return value.toString(UTF_8);
     }
 
     /** Bytes of memory that the request takes while it is open. */
--- a/mysql/src/main/java/lupinvalve/mysql/Params.java
+++ b/mysql/src/main/java/lupinvalve/mysql/Params.java
@@ -12,6 +12,8 @@
  */
 final class Params {
     static final int STRING = 0xFE;
+    private static final int BIT = 0x10;
+    private static final int NEW_DECIMAL = 0xF6;
     private static final int MAX_COUNT = 65535;
 
     /**
@@ -52,10 +54,10 @@
             }
         }
 
-        /** Whether the type is one of strings; false for BIT, which is encoded as a string but holds no text. */
+        /** Whether the type is one of strings; false for BIT and NEWDECIMAL, which are only encoded as strings. */
         boolean isText() {
             int typeCode = type & 255;
-            return typeCode >= 15 && typeCode != 16;
+            return typeCode >= 15 && typeCode != BIT && typeCode != NEW_DECIMAL;
         }
     }
 
@@ -157,38 +159,4 @@
             }
         }
     }
-
-    /** The number of placeholders in a statement: question marks outside quotes and comments. */
-    static int countPlaceholders(byte[] text) {
-        int count = 0;
-        for (int i = 0; i < text.length; i++) {
-            int current = text[i];
-            int next = i + 1 < text.length ? text[i + 1] : 0;
-            if (current == '?') {
-                count++;
-            } else if (current == '\'' || current == '"' || current == '`') {
-                i = closingQuote(text, i);
-            } else if (current == '#' || current == '-' && next == '-') {
-                while (i < text.length && text[i] != '\n') {
-                    i++;
-                }
-            } else if (current == '/' && next == '*') {
-                i += 2;
-                while (i + 1 < text.length && !(text[i] == '*' && text[i + 1] == '/')) {
-                    i++;
-                }
-                i++;
-            }
-        }
-        return count;
-    }
-
-    /** The index of the quote that ends a quoted text; past the end of the statement where there is none. */
-    private static int closingQuote(byte[] text, int openingQuote) {
-        int index = openingQuote + 1;
-        while (index < text.length && text[index] != text[openingQuote]) {
-            index += text[index] == '\\' && text[openingQuote] != '`' ? 2 : 1;
-        }
-        return index;
-    }
 }
--- a/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
+++ b/mysql/src/main/java/lupinvalve/mysql/PreparedStatements.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import lupinvalve.core.SqlDialect;
 import lupinvalve.core.Statement;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.ByteBudget;
@@ -99,7 +100,7 @@
      * node would be chosen.
      */
     void prepare(byte[] text) {
-        int placeholders = Params.countPlaceholders(text);
+        int placeholders = new Statement(text, SqlDialect.MYSQL).placeholderCount();
         long memoryBytes = text.length + STATEMENT_BYTES;
         if (placeholders > MAX_PLACEHOLDERS || statements.size() >= MAX_STATEMENTS || !reserveStatement(memoryBytes)) {
             client.error(
@@ -240,7 +241,12 @@
         List<MysqlRequest.LongData> longData = statement.longData;
         clearValues(statement);
         return new MysqlRequest(
-                statement.text, new Statement(statement.text), true, params, statement.placeholders, longData);
+                statement.text,
+                new Statement(statement.text, SqlDialect.MYSQL),
+                true,
+                params,
+                statement.placeholders,
+                longData);
     }
 
     /** Keeps the types of an execution for the next one; false if there is no memory for them. */
--- a/mysql/src/main/java/lupinvalve/mysql/WaitingCommands.java
+++ b/mysql/src/main/java/lupinvalve/mysql/WaitingCommands.java
@@ -1,6 +1,7 @@
 package lupinvalve.mysql;
 
 import java.util.List;
+import lupinvalve.core.SqlDialect;
 import lupinvalve.core.Statement;
 import lupinvalve.net.Framer;
 import lupinvalve.routing.RequestClass;
@@ -49,7 +50,7 @@
 
     /** The statement that is executed, without its attributes, which only its execution can read. */
     private static Statement prepared(MysqlClient client, PacketReader in) throws Framer.Malformed {
-        return new Statement(client.preparedStatements.text(in.fixedInt(4)));
+        return new Statement(client.preparedStatements.text(in.fixedInt(4)), SqlDialect.MYSQL);
     }
 
     /** The time that a statement states; that of the shortest class where it states none. */
--- a/pg/src/main/java/lupinvalve/pg/PgFront.java
+++ b/pg/src/main/java/lupinvalve/pg/PgFront.java
@@ -15,6 +15,7 @@
 import lupinvalve.core.InvalidStatementException;
 import lupinvalve.core.Pooler;
 import lupinvalve.core.RefusalReason;
+import lupinvalve.core.SqlDialect;
 import lupinvalve.core.Statement;
 import lupinvalve.log.RepeatedWarnings;
 import lupinvalve.maintenance.AnswerBudget;
@@ -431,11 +432,14 @@
         } else if (keyword.equals("SET") || keyword.equals("RESET") || keyword.equals("DISCARD")) {
             answer(client, PgMessages.textMessage('C', keyword), PgMessages.READY_FOR_QUERY);
         } else {
-            submit(client, new Statement(text), atMicros);
+            submit(client, new Statement(text, SqlDialect.POSTGRESQL), atMicros);
         }
     }
 
     private void submit(Client client, Statement statement, long atMicros) {
+        if (statement.isCut()) {
+            warnings.warn("a statement ends within a literal, a quoted name or a comment");
+        }
         try {
             ClientRequest request =
                     statement.toRequest(pooler.settings().classes(), atMicros, null, PROTOCOL, statement);
