--- a/daemon/src/test/java/lupinvalve/discovery/ServiceBrowserTest.java
+++ b/daemon/src/test/java/lupinvalve/discovery/ServiceBrowserTest.java
@@ -243,6 +243,21 @@
         assertEquals(Set.of("n1"), resolver.listed());
     }
 
+    /** Guards against a first list that waits for an instance about which nothing more will be learned. */
+    @Test
+    void theFirstListWaitsForNoInstanceThatIsBroken() {
+        for (Consumer<SimulatedResolver> trouble : troublesOfOneInstance().keySet()) {
+            SimulatedResolver resolver = new SimulatedResolver(2);
+            resolver.publishAll(1, NODES);
+            trouble.accept(resolver);
+            resolver.subscribe(List.of());
+            resolver.runFor(2_000);
+            SimulatedResolver.Report last = resolver.reports.get(resolver.reports.size() - 1);
+            assertEquals(ListForm.FULL, last.form());
+            assertEquals(NODES - 1, last.endpoints().size());
+        }
+    }
+
     @Test
     void formerDbNodesStayWhileAnInstanceMayBeTheirs() {
         SimulatedResolver resolver = new SimulatedResolver(1);
--- a/discovery/src/main/java/lupinvalve/discovery/DnsClient.java
+++ b/discovery/src/main/java/lupinvalve/discovery/DnsClient.java
@@ -19,6 +19,9 @@
 /** Sends questions to resolvers, each on a socket of its own, without blocking the caller. Any thread. */
 final class DnsClient {
     private static final int THREAD_STACK_BYTES = 256 << 10;
+    /** The longest datagram that is read, whatever length the question allows: some resolvers disregard that. */
+    private static final int MAX_DATAGRAM_BYTES = 16 << 10;
+
     private static final int HEADER_BYTES = 12;
     /** Where the header has the number of records behind the answer section. */
     private static final int AUTHORITY_COUNT_OFFSET = 8;
--- a/discovery/src/main/java/lupinvalve/discovery/QuestionSchedule.java
+++ b/discovery/src/main/java/lupinvalve/discovery/QuestionSchedule.java
@@ -69,6 +69,11 @@
             return scheduled.question;
         }
 
+        /** Whether its answer is awaited and not overdue. */
+        boolean isOpen() {
+            return isOpen;
+        }
+
         /** How long its answer is awaited. */
         long awaitMicros() {
             long timeoutMicros = overdueAtMicros - sentAtMicros;
--- a/discovery/src/main/java/lupinvalve/discovery/ServiceBrowser.java
+++ b/discovery/src/main/java/lupinvalve/discovery/ServiceBrowser.java
@@ -84,7 +84,7 @@
      * @param listed the db nodes that are listed now, from whatever source
      */
     void subscribe(boolean active, List<DiscoveredEndpoint> listed, long nowMicros) {
-        isReportRequested |= active && (!isSubscribed || reported != Reported.LIST);
+        isReportRequested |= active && !isReportDue && (!isSubscribed || reported != Reported.LIST);
         isSubscribed = active;
         continueAsking(listed, nowMicros);
     }
@@ -165,10 +165,11 @@
         if (schedule == null || !schedule.hasSent(sent)) {
             return;
         }
+        boolean wasOverdue = !sent.isOpen();
         boolean counts = schedule.ended(sent, answer.hasFailed(), answer.hasResponse(), nowMicros);
         if (counts) {
             apply(sent, answer, nowMicros);
-        } else if (answer.hasFailed()) {
+        } else if (answer.hasFailed() && !wasOverdue) {
             warn(sent.question(), answer.reason());
             isUpdateDue |= instances.failed(sent.question());
             isUnavailable |= answer.hasResponse() && isAboutService(sent);
--- a/discovery/src/main/java/lupinvalve/discovery/ServiceInstance.java
+++ b/discovery/src/main/java/lupinvalve/discovery/ServiceInstance.java
@@ -35,6 +35,9 @@
     private SRVRecord server;
     private String address;
     private boolean isAbsent;
+    /** Whether its newest attributes are malformed. */
+    private boolean isMalformed;
+
     private DiscoveredEndpoint endpoint;
 
     ServiceInstance(Name name, InstanceReader reader) {
@@ -56,6 +59,11 @@
         return isAbsent;
     }
 
+    /** Whether nothing more can be learned by waiting: it is known, not available, or malformed. */
+    boolean isSettled() {
+        return endpoint != null || isAbsent || isMalformed;
+    }
+
     /** Whether its TXT records have been answered, so that its id is known. */
     boolean isIdKnown() {
         return attributes != null;
@@ -158,7 +166,9 @@
     private void describe(Consumer<String> problems) {
         try {
             endpoint = reader.read(name, server, address, attributes);
+            isMalformed = false;
         } catch (IOException e) {
+            isMalformed = true;
             problems.accept(e.getMessage());
             endpoint = endpoint == null ? null : InstanceReader.withState(endpoint, knownState(endpoint));
         }
--- a/discovery/src/main/java/lupinvalve/discovery/ServiceInstances.java
+++ b/discovery/src/main/java/lupinvalve/discovery/ServiceInstances.java
@@ -76,12 +76,11 @@
         return isNamed;
     }
 
-    /** Whether each instance is known, known not to be available, or has a question that fails. */
+    /** Whether each instance is known, known not to be available, malformed, or has a question that fails. */
     boolean isComplete() {
         return isNamed
                 && instances.values().stream()
-                        .allMatch(instance -> instance.endpoint() != null
-                                || instance.isAbsent()
+                        .allMatch(instance -> instance.isSettled()
                                 || instance.questions(answers::get).stream().anyMatch(failed::contains));
     }
 
