SQL literals after the first are read without keeping their values

Cause: the reader copied each literal byte by byte, also the values that nobody asks for, on the core thread, where statements may have 1 MiB.

Change: only the first literal's value is kept, and copied in runs.

Result: SqlTextTest has the escapes of later literals too.

--- a/core/src/main/java/lupinvalve/core/SqlLiteral.java
+++ b/core/src/main/java/lupinvalve/core/SqlLiteral.java
@@ -33,15 +33,19 @@
 
     private final byte[] text;
     private final Encoding encoding;
-    private final ByteArrayOutputStream value = new ByteArrayOutputStream();
+    /** Null if the value is not kept. */
+    private final ByteArrayOutputStream value;
+
     private int position;
 
-    SqlLiteral(byte[] text, Encoding encoding) {
+    /** @param isValueKept false for a text that is only read to find its end */
+    SqlLiteral(byte[] text, Encoding encoding, boolean isValueKept) {
         this.text = text;
         this.encoding = encoding;
+        value = isValueKept ? new ByteArrayOutputStream() : null;
     }
 
-    /** The value of all parts that have been read. */
+    /** The value of all parts that have been read; only if it is kept. */
     String value() {
         byte[] bytes = value.toByteArray();
         return encoding == Encoding.HEX ? decodeHex(bytes) : new String(bytes, UTF_8);
@@ -59,25 +63,44 @@
      */
     int read(int start, byte quote) {
         position = start;
+        int verbatimStart = start;
         while (position < text.length) {
-            byte current = text[position++];
-            if (current == quote && byteAt(position) != quote) {
-                return position;
-            } else if (current == quote) {
+            byte current = text[position];
+            if (current == quote) {
+                append(verbatimStart, position);
+                position++;
+                if (byteAt(position) != quote) {
+                    return position;
+                }
+                verbatimStart = position;
                 position++;
-                value.write(quote);
-            } else if (current == '\\') {
-                readBackslash();
+            } else if (current == '\\' && hasEscapes()) {
+                append(verbatimStart, position);
+                position++;
+                readEscape();
+                verbatimStart = position;
             } else {
-                value.write(current);
+                position++;
             }
         }
         return SqlText.NONE;
     }
 
+    private boolean hasEscapes() {
+        return encoding != Encoding.PLAIN && encoding != Encoding.HEX;
+    }
+
     /** Appends a part of the text as it is. */
     void append(int start, int end) {
-        value.write(text, start, end - start);
+        if (value != null) {
+            value.write(text, start, end - start);
+        }
+    }
+
+    private void write(int character) {
+        if (value != null) {
+            value.write(character);
+        }
     }
 
     private int byteAt(int index) {
@@ -85,11 +108,11 @@
     }
 
     /** Reads what follows a backslash. */
-    private void readBackslash() {
+    private void readEscape() {
         if (encoding == Encoding.UNICODE_ESCAPES) {
             readUnicodeEscape();
-        } else if (encoding == Encoding.PLAIN || encoding == Encoding.HEX || position == text.length) {
-            value.write('\\');
+        } else if (position == text.length) {
+            write('\\');
         } else if (encoding == Encoding.MYSQL_ESCAPES) {
             readMysqlEscape(text[position++]);
         } else {
@@ -99,37 +122,37 @@
 
     private void readMysqlEscape(byte escaped) {
         switch (escaped) {
-            case '0' -> value.write(0);
-            case 'b' -> value.write('\b');
-            case 'n' -> value.write('\n');
-            case 'r' -> value.write('\r');
-            case 't' -> value.write('\t');
-            case 'Z' -> value.write(CONTROL_Z);
+            case '0' -> write(0);
+            case 'b' -> write('\b');
+            case 'n' -> write('\n');
+            case 'r' -> write('\r');
+            case 't' -> write('\t');
+            case 'Z' -> write(CONTROL_Z);
             case '%', '_' -> {
                 // Kept for patterns of LIKE.
-                value.write('\\');
-                value.write(escaped);
+                write('\\');
+                write(escaped);
             }
-            default -> value.write(escaped);
+            default -> write(escaped);
         }
     }
 
     private void readPostgresqlEscape(byte escaped) {
         switch (escaped) {
-            case 'b' -> value.write('\b');
-            case 'f' -> value.write('\f');
-            case 'n' -> value.write('\n');
-            case 'r' -> value.write('\r');
-            case 't' -> value.write('\t');
-            case 'x' -> value.write(isDigit(position, HEX_RADIX) ? readNumber(HEX_RADIX, MAX_HEX_DIGITS) : escaped);
+            case 'b' -> write('\b');
+            case 'f' -> write('\f');
+            case 'n' -> write('\n');
+            case 'r' -> write('\r');
+            case 't' -> write('\t');
+            case 'x' -> write(isDigit(position, HEX_RADIX) ? readNumber(HEX_RADIX, MAX_HEX_DIGITS) : escaped);
             case 'u' -> writeCodePoint(SHORT_CODE_POINT_DIGITS);
             case 'U' -> writeCodePoint(LONG_CODE_POINT_DIGITS);
             default -> {
                 if (escaped >= '0' && escaped < '0' + OCTAL_RADIX) {
                     position--;
-                    value.write(readNumber(OCTAL_RADIX, MAX_OCTAL_DIGITS));
+                    write(readNumber(OCTAL_RADIX, MAX_OCTAL_DIGITS));
                 } else {
-                    value.write(escaped);
+                    write(escaped);
                 }
             }
         }
@@ -137,7 +160,7 @@
 
     private void readUnicodeEscape() {
         if (byteAt(position) == '\\') {
-            value.write('\\');
+            write('\\');
             position++;
         } else if (byteAt(position) == '+') {
             position++;
@@ -150,7 +173,9 @@
     private void writeCodePoint(int digits) {
         int codePoint = readNumber(HEX_RADIX, digits);
         if (Character.isValidCodePoint(codePoint)) {
-            value.writeBytes(Character.toString(codePoint).getBytes(UTF_8));
+            for (byte character : Character.toString(codePoint).getBytes(UTF_8)) {
+                write(character);
+            }
         }
     }
 
--- a/core/src/main/java/lupinvalve/core/SqlScanner.java
+++ b/core/src/main/java/lupinvalve/core/SqlScanner.java
@@ -159,7 +159,7 @@
     }
 
     private SqlLiteral begin(SqlLiteral.Encoding encoding) {
-        SqlLiteral literal = new SqlLiteral(text, encoding);
+        SqlLiteral literal = new SqlLiteral(text, encoding, firstLiteral == null);
         if (firstLiteral == null) {
             firstLiteral = literal;
             placeholdersBeforeLiteral = placeholders;
@@ -211,8 +211,8 @@
     private void readQuotedName() {
         byte quote = text[position];
         boolean isEscaped = isMysql && quote != '`';
-        int end = new SqlLiteral(text, isEscaped ? SqlLiteral.Encoding.MYSQL_ESCAPES : SqlLiteral.Encoding.PLAIN)
-                .read(position + 1, quote);
+        SqlLiteral.Encoding encoding = isEscaped ? SqlLiteral.Encoding.MYSQL_ESCAPES : SqlLiteral.Encoding.PLAIN;
+        int end = new SqlLiteral(text, encoding, false).read(position + 1, quote);
         isCut |= end == SqlText.NONE;
         position = end == SqlText.NONE ? text.length : end;
     }
--- a/core/src/test/java/lupinvalve/core/SqlTextTest.java
+++ b/core/src/test/java/lupinvalve/core/SqlTextTest.java
@@ -99,6 +99,12 @@
         assertEquals(2, withoutLiteral.placeholdersBeforeLiteral());
     }
 
+    @Test
+    void escapesOfLaterLiteralsAreReadToo() {
+        assertKey(SqlDialect.MYSQL, "k", "'k', 'it\\'s /* id=8 */', \"\\\"\", x'27'");
+        assertKey(SqlDialect.POSTGRESQL, "k", "'k', E'it\\'s\\x27\\u0027', U&'\\0027\\+000027', 'a\\'");
+    }
+
     /** Guards against exceptions and sessions from statements that end early. */
     @Test
     void aTextThatIsCutHasNoSession() {
