--- a/daemon/src/test/java/lupinvalve/discovery/ServiceBrowserTest.java
+++ b/daemon/src/test/java/lupinvalve/discovery/ServiceBrowserTest.java
@@ -243,6 +243,37 @@
         assertEquals(Set.of("n1"), resolver.listed());
     }
 
+    /** Guards against slow answers about one instance that slow down the questions about all. */
+    @Test
+    void slowAnswersAboutOneInstanceHoldUpNoOther() {
+        for (long slowMillis : new long[] {300, 1_000, 4_000}) {
+            SimulatedResolver resolver = started(NODES);
+            resolver.slowAnswerMicros = slowMillis * MILLIS;
+            resolver.slowNames.add(name(instance("n3")));
+            resolver.slowNames.add(name(host("n3")));
+            resolver.runFor(20_000);
+            String text = slowMillis + " ms";
+            assertTrue(resolver.listed().contains("n3"), text);
+            assertDeparture(text, resolver);
+            assertArrival(text, resolver);
+        }
+    }
+
+    /** Guards against a db node that departed before the start and is kept as a new one is not known yet. */
+    @Test
+    void aFormerDbNodeIsNotKeptForANewInstanceWhereLabelsAreIds() {
+        SimulatedResolver resolver = new SimulatedResolver(4);
+        resolver.publishAll(1, NODES);
+        resolver.remove("n2");
+        resolver.publish("n10", "id=n10", "cell=1");
+        resolver.silentNames.add(name(instance("n10")));
+        long startMicros = resolver.nowMicros;
+        resolver.subscribe(restored(NODES));
+        resolver.runFor(1_000);
+        long toldMillis = resolver.millisUntil(startMicros, "n2", false);
+        assertTrue(toldMillis >= 0 && toldMillis < NOTICE_MILLIS / 5, toldMillis + " ms");
+    }
+
     /** Guards against a first list that waits for an instance about which nothing more will be learned. */
     @Test
     void theFirstListWaitsForNoInstanceThatIsBroken() {
