--- a/discovery/src/main/java/lupinvalve/discovery/ServiceInstances.java
+++ b/discovery/src/main/java/lupinvalve/discovery/ServiceInstances.java
@@ -25,14 +25,15 @@
  * instances there are; each instance's records concern that instance alone.
  *
  * <p>Db nodes from a former list, whose instances are not known, stay listed while an instance that is not known well
- * enough may be theirs: one with their id or, where that is not known, with their id as its label.
+ * enough may be theirs: one with their id or, where that is not known, with their id as its label. Where no label is
+ * the id of such a db node, any instance whose id is not known may be theirs.
  *
  * <p>No I/O and no clock: callers pass the time in microseconds. Not thread-safe.
  */
 final class ServiceInstances {
     /**
-     * How long a db node from a former list stays listed because an instance whose label names no such db node may have
-     * its id. A departure must take effect within 6 s, whatever else is not answered.
+     * How long a db node from a former list stays listed because any instance may have its id. A departure must take
+     * effect within 6 s, whatever else is not answered.
      */
     private static final long UNMATCHED_RETENTION_MICROS = 5_000_000;
 
@@ -55,6 +56,8 @@
     private final List<String> problems = new ArrayList<>();
     private boolean isNamed;
     private long namedAtMicros;
+    /** Whether some label was the id of a db node from the former list when the instances were first named. */
+    private boolean hasIdsAsLabels;
 
     ServiceInstances(Name service, InstanceReader reader) {
         serviceQuestion = new DnsQuestion(service, Type.PTR);
@@ -108,8 +111,12 @@
         boolean isNew = !answer.saysTheSameAs(answers.put(question, answer));
         if (isNew && question.equals(serviceQuestion)) {
             setInstances(answer.records());
-            namedAtMicros = isNamed ? namedAtMicros : nowMicros;
-            isNamed = true;
+            if (!isNamed) {
+                isNamed = true;
+                namedAtMicros = nowMicros;
+                hasIdsAsLabels = instances.values().stream()
+                        .anyMatch(instance -> former.containsKey(InstanceReader.label(instance.name())));
+            }
         } else if (isNew) {
             ServiceInstance named = instances.get(question.name());
             List.copyOf(byHost.getOrDefault(question.name(), Set.of())).forEach(this::update);
@@ -209,7 +216,7 @@
         for (ServiceInstance instance : instances.values()) {
             if (instance.endpoint() == null && !instance.isAbsent()) {
                 candidates.put(instance.id(), instance);
-                mayHaveAnyId |= !instance.isIdKnown() && !former.containsKey(instance.id());
+                mayHaveAnyId |= !hasIdsAsLabels && !instance.isIdKnown();
             }
         }
         if (!mayHaveAnyId || nowMicros - namedAtMicros >= UNMATCHED_RETENTION_MICROS) {
