--- a/daemon/src/test/java/lupinvalve/discovery/DnsEndpointDiscoveryTest.java
+++ b/daemon/src/test/java/lupinvalve/discovery/DnsEndpointDiscoveryTest.java
@@ -332,6 +332,26 @@
         loop.stop();
     }
 
+    /** Guards against many instances whose answer is longer than the question allows and not marked as truncated. */
+    @Test
+    void anAnswerThatIsLongerThanAllowedIsRead() throws Exception {
+        Log.setLevel(Log.Level.ERROR);
+        int count = 60;
+        EventLoop loop = new EventLoop();
+        List<EndpointListEvent> events = new CopyOnWriteArrayList<>();
+        try (NameServer server = new NameServer()) {
+            for (int i = 0; i < count; i++) {
+                server.publish("a-rather-long-name-of-a-db-node-" + i, 5432, "cell=1");
+            }
+            DnsEndpointDiscovery discovery = start(loop, server, List.of(), events::add);
+            World.await("whole list received", () -> events.stream()
+                    .anyMatch(event ->
+                            event.form() == ListForm.FULL && event.endpoints().size() == count));
+            loop.post(() -> discovery.subscribe(false));
+        }
+        loop.stop();
+    }
+
     /** Guards against answers that are lost because of records that nobody has asked for. */
     @Test
     void malformedRecordsThatWereNotAskedForLoseNoAnswer() throws Exception {
--- a/discovery/src/main/java/lupinvalve/discovery/DnsClient.java
+++ b/discovery/src/main/java/lupinvalve/discovery/DnsClient.java
@@ -38,7 +38,7 @@
         public UdpIoClient createOrGetUdpClient() {
             UdpIoClient client = super.createOrGetUdpClient();
             return (local, remote, query, data, max, timeout) -> client.sendAndReceiveUdp(
-                            local, remote, query, data, max, timeout)
+                            local, remote, query, data, MAX_DATAGRAM_BYTES, timeout)
                     .thenApply(DnsClient::readablePart);
         }
     }
@@ -63,8 +63,9 @@
             resolver.setIoClientFactory(IO);
             Message query = Message.newQuery(Record.newRecord(question.name(), question.type(), DClass.IN));
             resolver.sendAsync(query, executor)
-                    .whenComplete((message, failure) ->
-                            onAnswer.accept(failure == null ? DnsAnswer.read(question, message) : failed(failure)));
+                    .thenApply(message -> DnsAnswer.read(question, message))
+                    .exceptionally(DnsClient::failed)
+                    .thenAccept(onAnswer);
         } catch (RuntimeException e) {
             onAnswer.accept(failed(e));
         }
