--- a/discovery/src/main/java/lupinvalve/discovery/InstanceReader.java
+++ b/discovery/src/main/java/lupinvalve/discovery/InstanceReader.java
@@ -68,16 +68,7 @@
 
     /** The same db node in another state. */
     static DiscoveredEndpoint withState(DiscoveredEndpoint discovered, EndpointState state) {
-        Endpoint endpoint = discovered.endpoint();
-        return new DiscoveredEndpoint(
-                new Endpoint(
-                        endpoint.node(),
-                        endpoint.group(),
-                        endpoint.zone(),
-                        state,
-                        endpoint.listedPrimary(),
-                        endpoint.startedAtMicros()),
-                discovered.addresses());
+        return new DiscoveredEndpoint(discovered.endpoint().withState(state), discovered.addresses());
     }
 
     /**
--- a/discovery/src/main/java/lupinvalve/discovery/QuestionSchedule.java
+++ b/discovery/src/main/java/lupinvalve/discovery/QuestionSchedule.java
@@ -12,24 +12,24 @@
 import org.xbill.DNS.Type;
 
 /**
- * Decides which question to a resolver is sent when. The primary question, which names the instances, is asked at its
- * own pace beside all others. Of these, the ones that were never answered come first; ones that are answered take turns
- * with ones that fail, which are asked less often and leave room for the others. A question is repeated when its answer
- * is overdue; the answer still counts when it comes.
+ * Decides which question to a resolver is sent when. The question about the service, which names the instances, is
+ * asked at its own pace beside all others. Of these, the ones that were never answered come first; ones that are
+ * answered take turns with ones that fail, which are asked less often and leave room for the others. A question is
+ * repeated when its answer is overdue; the answer still counts when it comes.
  *
  * <p>No I/O and no clock: callers pass the time in microseconds. Not thread-safe.
  */
 final class QuestionSchedule {
-    /** Answers that may be awaited in all, overdue ones included; the primary question is not bound by it. */
+    /** Answers that may be awaited in all, overdue ones included; the question about the service is not bound by it. */
     private static final int MAX_AWAITED = 64;
     /** How long an answer is awaited at most, which may be long after its question has been repeated. */
-    static final long MAX_AWAIT_MICROS = 5_000_000;
+    private static final long MAX_AWAIT_MICROS = 5_000_000;
     /** Where answers come soon, late ones are awaited less long, so that lost ones take no place for others. */
     private static final long MIN_AWAIT_MICROS = 1_000_000;
 
     private static final int AWAITED_TIMEOUTS = 4;
-    /** The longest pause between two primary questions that are not answered. */
-    private static final long MAX_PRIMARY_RETRY_MICROS = 2_000_000;
+    /** The longest pause between two questions about the service that are not answered. */
+    private static final long MAX_SERVICE_RETRY_MICROS = 2_000_000;
     /** The longest pause between repetitions of any other question that is not answered. */
     private static final long MAX_RETRY_MICROS = 4_000_000;
 
@@ -41,7 +41,7 @@
     private static final int SILENT_AFTER_QUESTIONS = 3;
     /** Time since its last response after which a resolver counts as silent. */
     private static final long SILENT_AFTER_MICROS = 1_000_000;
-    /** Pause between questions other than the primary one while the resolver is silent. */
+    /** Pause between questions other than the one about the service while the resolver is silent. */
     private static final long SILENT_PAUSE_MICROS = 10_000_000;
     /** How much longer other questions wait than ones about attributes, where a resolver is too slow for all. */
     private static final long ATTRIBUTES_LEAD_MICROS = 5_000_000;
@@ -112,7 +112,7 @@
             .thenComparing(BY_TIME);
 
     private final long pollMicros;
-    private final Scheduled primary;
+    private final Scheduled service;
     private final QuestionWindow window = new QuestionWindow();
     private final Map<DnsQuestion, Scheduled> wanted = new HashMap<>();
     /** The wanted questions that are not open: never answered nor failed, answered, and failing. */
@@ -135,9 +135,9 @@
     private long nextWhileSilentMicros;
 
     /** @param pollMicros pause from an answer to the next time its question is sent */
-    QuestionSchedule(DnsQuestion primaryQuestion, long pollMicros, long nowMicros) {
+    QuestionSchedule(DnsQuestion serviceQuestion, long pollMicros, long nowMicros) {
         this.pollMicros = pollMicros;
-        primary = new Scheduled(primaryQuestion, 0, nowMicros);
+        service = new Scheduled(serviceQuestion, 0, nowMicros);
         lastResponseMicros = nowMicros;
     }
 
@@ -149,7 +149,7 @@
         };
     }
 
-    /** Adds questions beside the primary one, due at once; those that are there already are not changed. */
+    /** Adds questions beside the one about the service, due at once; those that are there already are not changed. */
     void add(Collection<DnsQuestion> questions, long nowMicros) {
         for (DnsQuestion question : questions) {
             if (!wanted.containsKey(question)) {
@@ -160,7 +160,7 @@
         }
     }
 
-    /** Removes all questions beside the primary one but these. */
+    /** Removes all questions beside the one about the service but these. */
     void retain(Set<DnsQuestion> questions) {
         wanted.values().removeIf(scheduled -> {
             boolean isUnwanted = !questions.contains(scheduled.question);
@@ -174,14 +174,14 @@
         });
     }
 
-    /** Makes the primary question due now, unless it is open. */
-    void askPrimaryNow(long nowMicros) {
-        primary.dueAtMicros = Math.min(primary.dueAtMicros, nowMicros);
+    /** Makes the question about the service due now, unless it is open. */
+    void askServiceNow(long nowMicros) {
+        service.dueAtMicros = Math.min(service.dueAtMicros, nowMicros);
     }
 
-    /** Whether the primary question has failed more than once since its last answer. */
-    boolean isPrimaryFailing() {
-        return primary.failures > 1;
+    /** Whether the question about the service has failed more than once since its last answer. */
+    boolean isServiceFailing() {
+        return service.failures > 1;
     }
 
     /** Whether a question was sent by this schedule, not by one that it replaces. */
@@ -191,8 +191,8 @@
 
     /** The next question to send now, or null. */
     Sent next(long nowMicros) {
-        if (primary.open == null && primary.dueAtMicros <= nowMicros) {
-            return send(primary, nowMicros);
+        if (service.open == null && service.dueAtMicros <= nowMicros) {
+            return send(service, nowMicros);
         }
         Scheduled scheduled = nextOfOthers(nowMicros);
         if (scheduled == null) {
@@ -232,12 +232,12 @@
         return queue.isEmpty() || queue.first().dueAtMicros > nowMicros ? null : queue.first();
     }
 
-    /** Whether a question beside the primary one may be sent. */
+    /** Whether a question beside the one about the service may be sent. */
     private boolean hasRoom(long nowMicros) {
         if (window.needsLoneQuestion(nowMicros)) {
             return open.isEmpty();
         }
-        int openOthers = open.size() - (primary.open == null ? 0 : 1);
+        int openOthers = open.size() - (service.open == null ? 0 : 1);
         return openOthers < window.size() && awaited < MAX_AWAITED;
     }
 
@@ -260,7 +260,7 @@
         Sent sent = new Sent(scheduled, ++lastNumber, nowMicros, window.timeoutMicros(), open.size() + 1);
         scheduled.open = sent;
         open.add(sent);
-        openFailing += scheduled != primary && scheduled.failures > 0 ? 1 : 0;
+        openFailing += scheduled != service && scheduled.failures > 0 ? 1 : 0;
         awaited++;
         return sent;
     }
@@ -270,7 +270,7 @@
         open.remove(sent);
         if (sent.scheduled.open == sent) {
             sent.scheduled.open = null;
-            openFailing -= sent.scheduled != primary && sent.scheduled.failures > 0 ? 1 : 0;
+            openFailing -= sent.scheduled != service && sent.scheduled.failures > 0 ? 1 : 0;
         }
     }
 
@@ -294,7 +294,7 @@
             isSilent = true;
             window.silent();
             // Tells a silent resolver from questions that alone are not answered.
-            askPrimaryNow(nowMicros);
+            askServiceNow(nowMicros);
         }
     }
 
@@ -304,7 +304,7 @@
         close(sent);
         long pauseMicros =
                 window.timeoutMicros() << Math.min(Math.max(0, scheduled.failures - EVEN_RETRIES), MAX_DOUBLINGS);
-        long maxMicros = scheduled == primary ? MAX_PRIMARY_RETRY_MICROS : MAX_RETRY_MICROS;
+        long maxMicros = scheduled == service ? MAX_SERVICE_RETRY_MICROS : MAX_RETRY_MICROS;
         reschedule(scheduled, scheduled.failures + 1, sent.sentAtMicros + Math.min(pauseMicros, maxMicros));
     }
 
@@ -338,7 +338,7 @@
             }
             return false;
         }
-        boolean isWanted = scheduled == primary || wanted.get(scheduled.question) == scheduled;
+        boolean isWanted = scheduled == service || wanted.get(scheduled.question) == scheduled;
         boolean counts = isWanted && sent.number > scheduled.answeredNumber;
         if (counts) {
             answered(scheduled, sent.number, nowMicros);
@@ -384,7 +384,7 @@
 
     /** When {@link #expire} or {@link #next} may have something to do, unless a question ends before. */
     long nextWakeMicros(long nowMicros) {
-        long wakeMicros = primary.open == null ? primary.dueAtMicros : Long.MAX_VALUE;
+        long wakeMicros = service.open == null ? service.dueAtMicros : Long.MAX_VALUE;
         for (Sent sent : open) {
             wakeMicros = Math.min(wakeMicros, sent.overdueAtMicros);
         }
--- a/discovery/src/main/java/lupinvalve/discovery/ServiceBrowser.java
+++ b/discovery/src/main/java/lupinvalve/discovery/ServiceBrowser.java
@@ -1,6 +1,5 @@
 package lupinvalve.discovery;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -94,7 +93,7 @@
         isFetchRequested = true;
         isReportRequested = true;
         continueAsking(listed, nowMicros);
-        schedule.askPrimaryNow(nowMicros);
+        schedule.askServiceNow(nowMicros);
     }
 
     /**
@@ -124,9 +123,7 @@
         if (isOtherService) {
             instances = new ServiceInstances(service, reader);
             instances.inherit(listed);
-            reportedEndpoints = new HashMap<>();
-            listed.forEach(
-                    discovered -> reportedEndpoints.put(discovered.endpoint().node(), discovered));
+            reportedEndpoints = instances.endpoints(nowMicros);
         }
         schedule = new QuestionSchedule(instances.serviceQuestion(), pollMicros, nowMicros);
         schedule.add(instances.forgetUnneeded(), nowMicros);
@@ -142,7 +139,7 @@
             warn(expired, "no answer in time");
             isUpdateDue |= instances.failed(expired);
         }
-        isUnavailable |= schedule.isPrimaryFailing();
+        isUnavailable |= schedule.isServiceFailing();
         isUpdateDue |= isUnavailable && reported != Reported.UNAVAILABLE;
         QuestionSchedule.Sent sent = schedule.next(nowMicros);
         while (sent != null) {
--- a/maintenance/src/main/java/lupinvalve/maintenance/DrainedEndpoints.java
+++ b/maintenance/src/main/java/lupinvalve/maintenance/DrainedEndpoints.java
@@ -84,16 +84,9 @@
     /** The endpoint that the router is given for a listed db node. */
     public Endpoint effective(Endpoint listed) {
         if (drained.contains(listed.node())) {
-            return with(listed, EndpointState.DEPARTED, listed.startedAtMicros());
+            return listed.withState(EndpointState.DEPARTED);
         }
         Long restoredAt = restoredAtMicros.get(listed.node());
-        return restoredAt == null || restoredAt <= listed.startedAtMicros()
-                ? listed
-                : with(listed, listed.state(), restoredAt);
-    }
-
-    private static Endpoint with(Endpoint listed, EndpointState state, long startedAtMicros) {
-        return new Endpoint(
-                listed.node(), listed.group(), listed.zone(), state, listed.listedPrimary(), startedAtMicros);
+        return restoredAt == null || restoredAt <= listed.startedAtMicros() ? listed : listed.withStart(restoredAt);
     }
 }
--- a/routing/src/main/java/lupinvalve/routing/Endpoint.java
+++ b/routing/src/main/java/lupinvalve/routing/Endpoint.java
@@ -11,4 +11,14 @@
  *     was long ago
  */
 public record Endpoint(
-        String node, int group, int zone, EndpointState state, boolean listedPrimary, long startedAtMicros) {}
+        String node, int group, int zone, EndpointState state, boolean listedPrimary, long startedAtMicros) {
+    /** The same server in another state. */
+    public Endpoint withState(EndpointState newState) {
+        return new Endpoint(node, group, zone, newState, listedPrimary, startedAtMicros);
+    }
+
+    /** The same server with another start of its process. */
+    public Endpoint withStart(long newStartedAtMicros) {
+        return new Endpoint(node, group, zone, state, listedPrimary, newStartedAtMicros);
+    }
+}
